--- /dev/null
+++ b/pistachioglade/agent/_ledger.py
@@ -0,0 +1,63 @@
+"""Writes what became of each step to the object API, in batches.
+
+One object for each step and owner incarnation, so that no two writers meet; the
+report merges them by the samples' indices.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, Final
+
+from ..controllers import Node
+from ..errors import ErrorKind, Refusal
+from ..platform import StoredObject
+from ..report import StepRecord, pack_step
+from ..telemetry import logger
+
+_log = logger(__name__)
+
+_WRITE_INTERVAL_S: Final = 2.0
+
+
+class Ledger:
+    """The step records of one owner that are not written yet."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._pending: dict[str, StepRecord] = {}
+        self._versions: dict[str, int] = {}
+
+    def note(self, record: StepRecord) -> None:
+        """Keep the newest state of a step for the next batch."""
+        name = f"{self._node.settings.node}.{self._node.incarnation}"
+        self._pending[f"ledger/{record.trainer}/{record.step}/{name}"] = record
+
+    async def run(self) -> None:
+        """Write for as long as the process runs."""
+        while True:
+            await asyncio.sleep(_WRITE_INTERVAL_S)
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Write what is pending; keep what could not be written."""
+        for path, record in tuple(self._pending.items()):
+            if await self._write(path, pack_step(record)):
+                if self._pending.get(path) is record:
+                    del self._pending[path]
+            else:
+                return
+
+    async def _write(self, path: str, value: Any) -> bool:
+        version = self._versions.get(path, 0)
+        result = await asyncio.to_thread(self._node.api.put, path, value, version)
+        if not isinstance(result, Refusal):
+            self._versions[path] = result
+            return True
+        if result.kind in (ErrorKind.CONFLICT, ErrorKind.PLATFORM_UNCERTAIN):
+            stored = await asyncio.to_thread(self._node.api.get, path)
+            if isinstance(stored, StoredObject):
+                self._versions[path] = stored.version
+                return bool(stored.value == value)
+        _log.warning("ledger.not_written", path=path, reason=result.reason)
+        return False
--- /dev/null
+++ b/pistachioglade/agent/_owner.py
@@ -0,0 +1,148 @@
+"""The steps that this agent owns."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+
+from ..config import AgentSettings, Trainer
+from ..controllers import CONFIG, Node
+from ..errors import ErrorKind, Refusal, refuse
+from ..messages import FetchSamples, OpenStep, OwnerIs, SampleBatch, StepOpened
+from ..telemetry import logger
+from ._agent_loads import AgentLoads
+from ._ledger import Ledger
+from ._owner_lease import OwnerLease
+from ._rollouts import RolloutRunner
+from ._step_run import StepRun
+
+_log = logger(__name__)
+
+#: Finished steps that are kept, for a trainer that asks again.
+_KEPT_STEPS = 2
+#: Most samples in one step; its record stays below a megabyte.
+MAX_STEP_SAMPLES = 16_384
+
+
+class StepOwner:
+    """Opens steps and gives out their samples, under one lease a trainer."""
+
+    def __init__(
+        self, settings: AgentSettings, node: Node, rollouts: RolloutRunner
+    ) -> None:
+        self._settings = settings
+        self._node = node
+        self._rollouts = rollouts
+        self._loads = AgentLoads()
+        self.ledger = Ledger(node)
+        self._leases: dict[str, OwnerLease] = {}
+        self._runs: dict[str, dict[int, StepRun]] = {}
+
+    def owned_trainers(self) -> tuple[str, ...]:
+        """Return the trainers whose lease this node holds."""
+        return tuple(
+            trainer for trainer, lease in self._leases.items() if lease.is_held
+        )
+
+    async def run(self) -> None:
+        """Renew leases and write the ledger for as long as the process runs."""
+        await asyncio.gather(self._renewals(), self.ledger.run())
+
+    async def _renewals(self) -> None:
+        while True:
+            await asyncio.sleep(self._settings.lease_s / 3)
+            await asyncio.gather(*map(self._renew, tuple(self._leases)))
+
+    async def _renew(self, trainer: str) -> None:
+        lease = self._leases[trainer]
+        was_held = lease.is_held
+        await lease.renew()
+        if was_held and not lease.is_held:
+            self._drop(trainer)
+
+    def _drop(self, trainer: str) -> None:
+        for run in self._runs.pop(trainer, {}).values():
+            run.close()
+
+    def _lease(self, trainer: str) -> OwnerLease:
+        if trainer not in self._leases:
+            seen = partial(self._rollouts.highest_fence, trainer)
+            self._leases[trainer] = OwnerLease(
+                self._node, trainer, self._settings.lease_s, seen
+            )
+        return self._leases[trainer]
+
+    async def open(self, message: OpenStep) -> StepOpened | OwnerIs | Refusal:
+        """Open a step here, or name the node that owns the trainer's steps."""
+        problem = self._check(message)
+        if problem is not None:
+            return problem
+        lease = self._lease(message.trainer)
+        elsewhere = await lease.acquire()
+        if elsewhere is not None:
+            return elsewhere
+        runs = self._runs.setdefault(message.trainer, {})
+        if message.step in runs:
+            runs[message.step].adopt_receipts(message)
+        else:
+            runs[message.step] = self._start(message, lease)
+            self._forget_finished(runs)
+        count = runs[message.step].plan.sample_count
+        return StepOpened(self._node.settings.node, lease.fence, count)
+
+    def _check(self, message: OpenStep) -> Refusal | None:
+        refusal = self._node.admission()
+        if refusal is not None:
+            return refusal
+        if self._trainer(message.trainer) is None:
+            reason = f"no trainer {message.trainer!r} is declared"
+            return refuse(ErrorKind.NOT_FOUND, reason)
+        count = sum(group.sample_count for group in message.groups)
+        if not 1 <= count <= MAX_STEP_SAMPLES:
+            reason = f"a step has 1 to {MAX_STEP_SAMPLES} samples, not {count}"
+            return refuse(ErrorKind.BAD_REQUEST, reason)
+        return None
+
+    def _trainer(self, name: str) -> Trainer | None:
+        config = self._node.board.read(CONFIG)
+        return config.trainer(name) if config else None
+
+    def _start(self, message: OpenStep, lease: OwnerLease) -> StepRun:
+        _log.info("step.opened", trainer=message.trainer, step=message.step)
+        return StepRun(
+            self._node,
+            message,
+            lambda: lease.fence,
+            self._loads,
+            self.ledger,
+            partial(self._may_start, message.trainer),
+        )
+
+    def _may_start(self, trainer: str, step: int) -> bool:
+        """Let a later step start samples once earlier ones have none left."""
+        runs = self._runs.get(trainer, {})
+        return all(
+            run.plan.pending_count == 0 for number, run in runs.items() if number < step
+        )
+
+    @staticmethod
+    def _forget_finished(runs: dict[int, StepRun]) -> None:
+        finished = sorted(step for step, run in runs.items() if run.plan.is_complete)
+        for step in finished[:-_KEPT_STEPS]:
+            del runs[step]
+
+    async def fetch(self, message: FetchSamples) -> SampleBatch | OwnerIs | Refusal:
+        """Give out samples of a step that is open here."""
+        run = self._runs.get(message.trainer, {}).get(message.step)
+        if run is None:
+            reason = f"step {message.step} is not open here; open it again"
+            return refuse(ErrorKind.UNKNOWN_STEP, reason)
+        return await run.fetch(message)
+
+    async def hand_over(self) -> None:
+        """Give every lease back and write what is left of the record."""
+        for trainer in tuple(self._runs):
+            self._drop(trainer)
+        await asyncio.gather(*(lease.release() for lease in self._leases.values()))
+        await asyncio.sleep(0)
+        await self.ledger.flush()
--- /dev/null
+++ b/pistachioglade/agent/_owner_lease.py
@@ -0,0 +1,206 @@
+"""The lease on a trainer's steps, kept in the object API.
+
+The lease only saves work: it is not what keeps samples from being delivered
+twice (the trainer's receipts do). So a holder works on while the object API is
+out of reach, and where no lease can be had in an outage a node takes the steps
+provisionally, with a fence above every one that it has seen.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+
+import attrs
+
+from ..controllers import MEMBERS, Node
+from ..decisions import LeaseObserver
+from ..errors import ErrorKind, Refusal
+from ..messages import MemberState, OwnerIs, structure, unstructure
+from ..platform import StoredObject
+from ..telemetry import logger
+
+_log = logger(__name__)
+
+
+class LeaseState(Enum):
+    """What this node knows of its own lease."""
+
+    HELD = "held"
+    PROVISIONAL = "provisional"
+    LOST = "lost"
+
+
+@attrs.frozen
+class LeaseValue:
+    """The object behind a lease."""
+
+    # Node id of the holder; empty after a release.
+    owner: str
+    # Boot nonce of the holder.
+    incarnation: int
+    # Fencing number; grows with each holder.
+    fence: int
+    # Grows with each renewal, so that the object's version does.
+    renewals: int = 0
+
+
+class OwnerLease:
+    """One trainer's lease, as this node sees it."""
+
+    def __init__(
+        self,
+        node: Node,
+        trainer: str,
+        lease_s: float,
+        seen_fence: Callable[[], int],
+    ) -> None:
+        self._node = node
+        self._path = f"owners/{trainer}"
+        self._lease_s = lease_s
+        self._seen_fence = seen_fence
+        self._observer = LeaseObserver()
+        self._version = 0
+        self._value: LeaseValue | None = None
+        self._lock = asyncio.Lock()
+        self.state = LeaseState.LOST
+        self.fence = 0
+
+    @property
+    def is_held(self) -> bool:
+        """Whether this node may act as the owner."""
+        return self.state is not LeaseState.LOST
+
+    async def acquire(self) -> OwnerIs | None:
+        """Take the lease; return who has it if it can't be taken now."""
+        async with self._lock:
+            if self.is_held:
+                return None
+            stored = await asyncio.to_thread(self._node.api.get, self._path)
+            if isinstance(stored, StoredObject):
+                return await self._contend(stored)
+            if stored.kind is ErrorKind.NOT_FOUND:
+                return await self._write(0, fence=self._seen_fence() + 1)
+            return self._provisional()
+
+    async def _contend(self, stored: StoredObject) -> OwnerIs | None:
+        value = structure(stored.value, LeaseValue)
+        self._value = value
+        now_s = time.monotonic()
+        self._observer.observe(stored.version, now_s)
+        if not self._is_free(value, now_s):
+            return OwnerIs(value.owner)
+        fence = max(value.fence, self._seen_fence()) + 1
+        return await self._write(stored.version, fence)
+
+    def _is_free(self, value: LeaseValue, now_s: float) -> bool:
+        own = self._node.settings.node
+        if value.owner in ("", own) or self._observer.lapsed(self._lease_s, now_s):
+            return True
+        member = self._node.board.read(MEMBERS).get(value.owner)
+        if member is None:
+            return False
+        replaced = member.incarnation > value.incarnation
+        return replaced or member.state is MemberState.DEAD
+
+    async def _write(self, version: int, fence: int) -> OwnerIs | None:
+        value = LeaseValue(self._node.settings.node, self._node.incarnation, fence)
+        result = await self._put(value, version)
+        if isinstance(result, int):
+            self._hold(value, result)
+            return None
+        stored = await asyncio.to_thread(self._node.api.get, self._path)
+        if not isinstance(stored, StoredObject):
+            return self._provisional()
+        found = structure(stored.value, LeaseValue)
+        if found == value:
+            self._hold(value, stored.version)
+            return None
+        return OwnerIs(found.owner)
+
+    def _hold(self, value: LeaseValue, version: int) -> None:
+        _log.info("lease.held", path=self._path, fence=value.fence)
+        self._value = value
+        self._version = version
+        self.fence = value.fence
+        self.state = LeaseState.HELD
+
+    def _provisional(self) -> OwnerIs | None:
+        """Act without the object API, unless a live holder is known."""
+        known = self._value
+        if known is not None and not self._is_free(known, time.monotonic()):
+            return OwnerIs(known.owner)
+        self.fence = max(self._seen_fence(), known.fence if known else 0) + 1
+        self.state = LeaseState.PROVISIONAL
+        _log.warning("lease.provisional", path=self._path, fence=self.fence)
+        return None
+
+    async def _put(self, value: LeaseValue, version: int) -> int | Refusal:
+        data: Any = unstructure(value)
+        return await asyncio.to_thread(self._node.api.put, self._path, data, version)
+
+    async def renew(self) -> None:
+        """Renew once; the state tells afterwards whether it is still held."""
+        async with self._lock:
+            if self.state is LeaseState.PROVISIONAL:
+                await self._settle_provisional()
+            elif self.state is LeaseState.HELD and self._value is not None:
+                await self._renew_held(self._value)
+
+    async def _renew_held(self, held: LeaseValue) -> None:
+        value = attrs.evolve(held, renewals=held.renewals + 1)
+        result = await self._put(value, self._version)
+        if isinstance(result, int):
+            self._hold_quietly(value, result)
+            return
+        stored = await asyncio.to_thread(self._node.api.get, self._path)
+        if isinstance(stored, StoredObject):
+            self._compare(stored)
+
+    def _hold_quietly(self, value: LeaseValue, version: int) -> None:
+        self._value = value
+        self._version = version
+
+    def _compare(self, stored: StoredObject) -> None:
+        """Tell a lost answer from a lost lease."""
+        found = structure(stored.value, LeaseValue)
+        if (found.owner, found.incarnation, found.fence) == (
+            self._node.settings.node,
+            self._node.incarnation,
+            self.fence,
+        ):
+            self._hold_quietly(found, stored.version)
+            return
+        _log.warning("lease.lost", path=self._path, owner=found.owner)
+        self.state = LeaseState.LOST
+
+    async def _settle_provisional(self) -> None:
+        """Turn a provisional ownership into a lease, or give it up."""
+        stored = await asyncio.to_thread(self._node.api.get, self._path)
+        if isinstance(stored, StoredObject):
+            found = structure(stored.value, LeaseValue)
+            self._observer.observe(stored.version, time.monotonic())
+            if not self._is_free(found, time.monotonic()):
+                self.state = LeaseState.LOST
+                return
+            await self._write_provisional(stored.version, found.fence)
+        elif stored.kind is ErrorKind.NOT_FOUND:
+            await self._write_provisional(0, 0)
+
+    async def _write_provisional(self, version: int, known_fence: int) -> None:
+        fence = max(self.fence, known_fence + 1)
+        value = LeaseValue(self._node.settings.node, self._node.incarnation, fence)
+        result = await self._put(value, version)
+        if isinstance(result, int):
+            self._hold(value, result)
+
+    async def release(self) -> None:
+        """Give the lease back, so that a successor needs not wait."""
+        async with self._lock:
+            held = self._value
+            if self.state is LeaseState.HELD and held is not None:
+                await self._put(attrs.evolve(held, owner=""), self._version)
+            self.state = LeaseState.LOST
--- /dev/null
+++ b/pistachioglade/agent/_scheduler.py
@@ -0,0 +1,216 @@
+"""Hands the agent's slots out: calls first, then rollouts by their shares."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable, Mapping
+
+import attrs
+
+from ..blackboard import Blackboard
+from ..config import ServiceConfig, Upstream
+from ..controllers import CONFIG, NEWEST
+from ..decisions import FairQueue
+from ..errors import ErrorKind, Refusal, refuse
+from ._facts import INSTANCES
+from ._slots import SlotTable
+
+
+@attrs.frozen(eq=False)
+class WaitingCall:
+    """A call that waits for a slot."""
+
+    # When its caller gives up.
+    deadline_s: float
+    # Resolved with the instance's name or a refusal.
+    slot: asyncio.Future[str | Refusal]
+
+
+@attrs.frozen(eq=False)
+class WaitingRollout:
+    """A rollout that waits for a slot."""
+
+    # Trainer that it is for.
+    trainer: str
+    # Model that it needs.
+    model: str
+    # Returns the oldest version that it may start with now.
+    min_version: Callable[[], int]
+    # Resolved with the instance's name or a refusal.
+    slot: asyncio.Future[str | Refusal]
+
+
+class Scheduler:
+    """The queues in front of the slots."""
+
+    def __init__(self, upstream: str, board: Blackboard, slots: SlotTable) -> None:
+        self._upstream = upstream
+        self._board = board
+        self._slots = slots
+        self._calls: deque[WaitingCall] = deque()
+        self.rollouts: FairQueue[WaitingRollout] = FairQueue({})
+        self._in_order: deque[WaitingRollout] = deque()
+        board.follow(INSTANCES, lambda _value: self.pump())
+        board.follow(CONFIG, lambda _value: self.pump())
+        board.follow(NEWEST, lambda _value: self.pump())
+
+    @property
+    def config(self) -> ServiceConfig:
+        """The configuration in force."""
+        return self._board.read(CONFIG) or ServiceConfig()
+
+    @property
+    def limits(self) -> Upstream | None:
+        """The declaration of this agent's upstream."""
+        return self.config.upstream(self._upstream)
+
+    @property
+    def is_fair(self) -> bool:
+        """Whether the fair policy is in force, not the baseline."""
+        return self.config.policy.name == "fair"
+
+    def queued(self) -> tuple[int, int]:
+        """Return how many calls and rollouts wait."""
+        return len(self._calls), len(self.rollouts) + len(self._in_order)
+
+    def _usable(self) -> list[str]:
+        return [
+            view.name
+            for view in self._board.read(INSTANCES).values()
+            if view.healthy and not view.leaving
+        ]
+
+    async def call_slot(self, budget_s: float) -> str | Refusal:
+        """Wait for a slot for a call; a refusal means that it did not run."""
+        limits = self.limits
+        if limits is None:
+            return refuse(ErrorKind.NO_UPSTREAM, "the upstream is not declared")
+        if len(self._calls) >= limits.max_queued_calls:
+            return refuse(ErrorKind.OVERLOADED, "the agent's queue of calls is full")
+        waiting = WaitingCall(time.monotonic() + budget_s, _future())
+        self._calls.append(waiting)
+        self.pump()
+        try:
+            async with asyncio.timeout(budget_s):
+                return await asyncio.shield(waiting.slot)
+        except TimeoutError:
+            return self._give_up(waiting)
+
+    def _give_up(self, waiting: WaitingCall) -> str | Refusal:
+        if waiting.slot.done():
+            return waiting.slot.result()
+        self._calls.remove(waiting)
+        reason = "no slot came free before the deadline"
+        return refuse(ErrorKind.DEADLINE_UNREACHABLE, reason)
+
+    def release_call(self, instance: str) -> None:
+        """Give a call's slot back."""
+        self._slots.release_call(instance)
+        self.pump()
+
+    def add_rollout(self, waiting: WaitingRollout) -> Refusal | None:
+        """Queue a rollout, or say why not."""
+        limits = self.limits
+        if limits is None:
+            return refuse(ErrorKind.NO_UPSTREAM, "the upstream is not declared")
+        if self.queued()[1] >= limits.max_queued_rollouts:
+            return refuse(ErrorKind.OVERLOADED, "the agent's queue of rollouts is full")
+        if self.is_fair:
+            self.rollouts.push(waiting.trainer, waiting)
+        else:
+            self._in_order.append(waiting)
+        self.pump()
+        return None
+
+    def release_rollout(self, instance: str, trainer: str, tokens: int) -> None:
+        """Give a rollout's slot back and settle its tokens."""
+        self._slots.release_rollout(instance)
+        self.rollouts.finished(trainer, tokens)
+        self.pump()
+
+    def withdraw(self, waiting: WaitingRollout, refusal: Refusal) -> None:
+        """Take a rollout out of the queue, if it still waits."""
+        self.rollouts.remove_if(lambda item: item is waiting)
+        if waiting in self._in_order:
+            self._in_order.remove(waiting)
+        if not waiting.slot.done():
+            waiting.slot.set_result(refusal)
+
+    def refuse_waiting(self, refusal: Refusal) -> None:
+        """Refuse every rollout that still waits."""
+        waiting = (*self.rollouts.remove_if(lambda _item: True), *self._in_order)
+        self._in_order.clear()
+        for item in waiting:
+            item.slot.set_result(refusal)
+
+    def pump(self) -> None:
+        """Give free slots out."""
+        limits = self.limits
+        if limits is not None:
+            self._slots.reserved = limits.reserved_slots if self.is_fair else 0
+        self.rollouts.set_shares(_shares(self.config, self._upstream))
+        self._pump_calls()
+        if self.is_fair:
+            self._pump_fair()
+        else:
+            self._pump_in_order()
+
+    def _pump_calls(self) -> None:
+        now_s = time.monotonic()
+        while self._calls:
+            if self._calls[0].deadline_s <= now_s:
+                late = self._calls.popleft()
+                late.slot.set_result(
+                    refuse(ErrorKind.DEADLINE_UNREACHABLE, "its deadline has passed")
+                )
+                continue
+            name = self._slots.take_call(self._usable())
+            if name is None:
+                return
+            self._calls.popleft().slot.set_result(name)
+
+    def _pump_fair(self) -> None:
+        while self._start_fair():
+            pass
+
+    def _start_fair(self) -> bool:
+        """Start one rollout; trainers that no instance is fresh for are passed."""
+        for trainer in self.rollouts.backlogged():
+            waiting = self.rollouts.peek(trainer)
+            name = self._slots.take_rollout(self._fresh_instances(waiting))
+            if name is not None:
+                self.rollouts.pop(trainer).slot.set_result(name)
+                return True
+        return False
+
+    def _pump_in_order(self) -> None:
+        while self._in_order:
+            name = self._slots.take_rollout(self._usable())
+            if name is None:
+                return
+            waiting = self._in_order.popleft()
+            self.rollouts.started(waiting.trainer)
+            waiting.slot.set_result(name)
+
+    def _fresh_instances(self, waiting: WaitingRollout) -> list[str]:
+        views = self._board.read(INSTANCES)
+        oldest = waiting.min_version()
+        return [
+            name
+            for name in self._usable()
+            if views[name].versions.get(waiting.model, 0) >= oldest
+        ]
+
+
+def _future() -> asyncio.Future[str | Refusal]:
+    return asyncio.get_running_loop().create_future()
+
+
+def _shares(config: ServiceConfig, upstream: str) -> Mapping[str, int]:
+    return {
+        trainer.name: trainer.share_percent
+        for trainer in config.trainers
+        if upstream in trainer.upstreams
+    }
--- /dev/null
+++ b/pistachioglade/agent/_step_run.py
@@ -0,0 +1,292 @@
+"""One open step at its owner: starts samples, gives them out, keeps the record."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from ..config import Policy, Trainer, Weighing
+from ..controllers import CONFIG, MEMBERS, NEWEST, Node, usable_agents
+from ..decisions import (
+    Dispatch,
+    PlacementPolicy,
+    StepPlan,
+    StepPolicy,
+    stable_hash,
+)
+from ..errors import ErrorKind, Refusal, refuse
+from ..messages import (
+    FIRST_VERSION,
+    CancelGenerate,
+    FetchSamples,
+    Generate,
+    Generated,
+    MemberState,
+    OpenStep,
+    Receipt,
+    Sample,
+    SampleBatch,
+)
+from ..report import StepRecord
+from ..telemetry import logger
+from ._agent_loads import AgentLoads
+from ._ledger import Ledger
+
+_log = logger(__name__)
+
+_TICK_S: Final = 0.25
+_GENERATE_TIMEOUT_S: Final = 1700.0
+_CANCEL_TIMEOUT_S: Final = 2.0
+#: Pause before an agent that refused is asked again, if it named none.
+_REST_S: Final = 0.5
+
+
+def step_policy(policy: Policy) -> StepPolicy:
+    """Return how steps are run under a declared policy."""
+    if policy.name != "fair":
+        return StepPolicy(
+            PlacementPolicy(group_affinity=False), False, 0.0, drop_stale_early=False
+        )
+    hedge_part = policy.hedge_percent / 100.0
+    if policy.weighing is Weighing.STALENESS:
+        hedge_part /= 2
+    return StepPolicy(hedge_part=hedge_part)
+
+
+class StepRun:
+    """The owner's side of one step."""
+
+    def __init__(
+        self,
+        node: Node,
+        message: OpenStep,
+        fence: Callable[[], int],
+        loads: AgentLoads,
+        ledger: Ledger,
+        may_start: Callable[[int], bool],
+    ) -> None:
+        self._node = node
+        self._message = message
+        self._fence = fence
+        self._loads = loads
+        self._ledger = ledger
+        self._may_start = may_start
+        config = node.board.read(CONFIG)
+        policy = step_policy(config.policy if config else Policy())
+        sizes = [group.sample_count for group in message.groups]
+        key = f"{message.trainer}/{message.step}"
+        self.plan = StepPlan(key, sizes, policy)
+        self.plan.receive(message.receipts)
+        self._newest_version = message.newest_version
+        self._opened_unix_s = time.time() - message.age_s
+        self._wake = node.board.signal(MEMBERS, NEWEST)
+        self._changed = asyncio.Event()
+        self._closed = False
+        self._refusals: Counter[str] = Counter()
+        self._wasted_tokens: Counter[str] = Counter()
+        self._task = node.spawn(self._run())
+
+    @property
+    def step(self) -> int:
+        """Number of the step."""
+        return self._message.step
+
+    def adopt_receipts(self, message: OpenStep) -> None:
+        """Take the receipts of a trainer that opens the step again."""
+        self._newest_version = max(self._newest_version, message.newest_version)
+        self._receive(message.receipts)
+
+    def close(self) -> None:
+        """Start nothing more and wake those who wait."""
+        self._closed = True
+        self._note_change()
+
+    def _note_change(self) -> None:
+        self._wake.set()
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _trainer(self) -> Trainer | None:
+        config = self._node.board.read(CONFIG)
+        return config.trainer(self._message.trainer) if config else None
+
+    async def _run(self) -> None:
+        while not self._closed and not self.plan.is_complete:
+            self._wake.clear()
+            self._drop_dead_agents()
+            self._drop_stale()
+            self._start_samples()
+            try:
+                async with asyncio.timeout(_TICK_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+        self._note_record()
+
+    def _drop_dead_agents(self) -> None:
+        """Start elsewhere what a suspected or dead agent was making."""
+        members = self._node.board.read(MEMBERS)
+        for agent in self.plan.outstanding():
+            member = members.get(agent)
+            if member is None or member.state in (
+                MemberState.SUSPECT,
+                MemberState.DEAD,
+            ):
+                for index in self.plan.running_at(agent):
+                    self.plan.fail(agent, index)
+
+    def _newest(self, trainer: Trainer) -> int:
+        published = self._node.board.read(NEWEST).get(trainer.model)
+        known = published.version if published else 0
+        self._newest_version = max(self._newest_version, known)
+        return self._newest_version
+
+    def _drop_stale(self) -> None:
+        trainer = self._trainer()
+        if trainer is None:
+            return
+        bound = trainer.staleness_bound_versions
+        self._note_waste(self.plan.drop_stale(self._newest(trainer), bound))
+
+    def _note_waste(self, samples: tuple[Sample, ...]) -> None:
+        for sample in samples:
+            self._wasted_tokens[ErrorKind.TOO_STALE.value] += sample.token_count
+
+    def _start_samples(self) -> None:
+        trainer = self._trainer()
+        if trainer is None or not self._may_start(self.step):
+            return
+        agents = {
+            record.node: record
+            for upstream in trainer.upstreams
+            for record in usable_agents(self._node.board, upstream)
+        }
+        now_s = time.monotonic()
+        while True:
+            views = self._loads.views(agents, now_s)
+            dispatch = self.plan.next_dispatch(views, now_s)
+            if dispatch is None:
+                return
+            self._loads.sent(dispatch.agent)
+            address = agents[dispatch.agent].address
+            self._node.spawn(self._generate(dispatch, address, trainer))
+
+    def _request(self, dispatch: Dispatch, trainer: Trainer) -> Generate:
+        message = self._message
+        oldest = self._newest(trainer) - trainer.staleness_bound_versions
+        seed = stable_hash(trainer.name, str(self.step), str(dispatch.index)) >> 33
+        return Generate(
+            trainer=trainer.name,
+            model=trainer.model,
+            step=self.step,
+            index=dispatch.index,
+            group=dispatch.group,
+            prompt=message.groups[dispatch.group].prompt,
+            max_tokens=message.max_tokens,
+            seed=seed,
+            fence=self._fence(),
+            min_version=max(FIRST_VERSION, oldest),
+            expected_tokens=self.plan.expected_tokens(dispatch.group),
+            traceparent=message.traceparent,
+        )
+
+    async def _generate(
+        self, dispatch: Dispatch, address: str, trainer: Trainer
+    ) -> None:
+        agent = dispatch.agent
+        with self._node.tracing.span(
+            "owner.sample", self._message.traceparent, index=dispatch.index, agent=agent
+        ) as traceparent:
+            request = attrs.evolve(
+                self._request(dispatch, trainer), traceparent=traceparent
+            )
+            answer = await self._node.pool.call(address, request, _GENERATE_TIMEOUT_S)
+        self._loads.returned(agent)
+        if isinstance(answer, Generated) and answer.sample is not None:
+            self._loads.report(agent, answer.load)
+            self._finish(agent, answer.sample)
+        else:
+            refusal = answer if isinstance(answer, Refusal) else _no_sample()
+            self._fail(agent, dispatch.index, refusal)
+        self._note_change()
+
+    def _finish(self, agent: str, sample: Sample) -> None:
+        if self.plan.has_copy(sample.index):
+            self._wasted_tokens["hedged"] += sample.token_count
+        for loser in self.plan.finish(agent, sample, time.monotonic()):
+            self._cancel(loser, sample.index)
+        self._drop_stale()
+
+    def _fail(self, agent: str, index: int, refusal: Refusal) -> None:
+        self.plan.fail(agent, index)
+        if refusal.kind is ErrorKind.CANCELLED:
+            return
+        self._refusals[refusal.kind.value] += 1
+        _log.info("sample.failed", index=index, agent=agent, reason=refusal.reason)
+        if refusal.kind is not ErrorKind.TOO_STALE:
+            rest_s = refusal.retry_after_s or _REST_S
+            self._loads.rest(agent, time.monotonic() + rest_s)
+
+    def _cancel(self, agent: str, index: int) -> None:
+        member = self._node.board.read(MEMBERS).get(agent)
+        if member is None:
+            return
+        message = CancelGenerate(self._message.trainer, self.step, index, self._fence())
+        call = self._node.pool.call(member.address, message, _CANCEL_TIMEOUT_S)
+        self._node.spawn(call)
+
+    def _receive(self, receipts: tuple[Receipt, ...]) -> None:
+        for index in self.plan.receive(receipts):
+            for agent in tuple(self.plan.outstanding()):
+                if index in self.plan.running_at(agent):
+                    self._cancel(agent, index)
+        if receipts:
+            self._note_record()
+            self._note_change()
+
+    def _note_record(self) -> None:
+        self._ledger.note(
+            StepRecord(
+                trainer=self._message.trainer,
+                step=self.step,
+                owner=self._node.settings.node,
+                opened_unix_s=self._opened_unix_s,
+                sample_count=self.plan.sample_count,
+                receipts=self.plan.receipts,
+                refusals=dict(self._refusals),
+                wasted_tokens=dict(self._wasted_tokens),
+            )
+        )
+
+    async def fetch(self, message: FetchSamples) -> SampleBatch | Refusal:
+        """Give out what the trainer lacks, waiting for the first sample."""
+        self._newest_version = max(self._newest_version, message.newest_version)
+        self._receive(message.receipts)
+        self._note_waste(self.plan.reject(message.rejected))
+        if message.rejected:
+            self._note_change()
+        deadline_s = time.monotonic() + message.wait_s
+        while True:
+            self._drop_stale()
+            samples = self.plan.ready(message.max_samples)
+            is_over = self._closed or time.monotonic() >= deadline_s
+            if samples or self.plan.is_complete or is_over:
+                return SampleBatch(self.step, samples, self.plan.missing_count)
+            await self._next_change(deadline_s)
+
+    async def _next_change(self, deadline_s: float) -> None:
+        wait_s = max(0.0, deadline_s - time.monotonic())
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+
+def _no_sample() -> Refusal:
+    return refuse(ErrorKind.UPSTREAM_LOST, "the agent's answer holds no sample")
--- /dev/null
+++ b/pistachioglade/controllers/_node.py
@@ -0,0 +1,159 @@
+"""What entries and agents have in common, wired together."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from functools import singledispatchmethod
+from typing import Any, Final
+
+from ..blackboard import Blackboard
+from ..config import NodeSettings, read_secret
+from ..errors import ErrorKind, Refusal, refuse
+from ..links import Identity, LinkPool, LinkServer, Peer
+from ..messages import (
+    Acknowledged,
+    BucketRecords,
+    Digest,
+    FetchRoot,
+    MemberChanges,
+    MemberRecord,
+    MemberState,
+    NodeRole,
+    RootOffer,
+)
+from ..platform import InstanceList, ObjectApi, RootStore
+from ..telemetry import Metrics, Tracing, logger
+from ._facts import CONFIG, LEAVING
+from ._membership import MembershipController
+from ._root import RootController
+
+_log = logger(__name__)
+
+#: Time without a peer after which a node asks the object API itself.
+_SILENT_S: Final = 5.0
+_STORE_PAUSE_S: Final = 0.5
+
+
+class Node:
+    """The core of a process: links, membership and configuration."""
+
+    def __init__(self, settings: NodeSettings, role: NodeRole, upstream: str) -> None:
+        self.settings = settings
+        self.board = Blackboard()
+        self.identity = Identity(
+            settings.node, read_secret(settings.cluster_secret_file)
+        )
+        self.incarnation = time.time_ns()
+        self.pool = LinkPool(self.identity)
+        self.api = ObjectApi(settings.object_api_url)
+        self.instances = InstanceList(settings.instance_list_url)
+        self.metrics = Metrics(settings.statsd_address, settings.node)
+        self.tracing = Tracing(settings.node, settings.trace_file, settings.trace_ratio)
+        self.store = RootStore(self.api, f"{settings.node}.{self.incarnation}")
+        self.root = RootController(self.board, self.pool, self.api, self.store)
+        own = MemberRecord(
+            node=settings.node,
+            incarnation=self.incarnation,
+            sequence=1,
+            state=MemberState.ALIVE,
+            role=role,
+            address=settings.link_address,
+            domain=settings.domain,
+            upstream=upstream,
+        )
+        self.membership = MembershipController(
+            settings, own, self.board, self.pool, self.root, self.instances
+        )
+        self.root.on_change(self.membership.announce_root)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def admission(self) -> Refusal | None:
+        """Return why this node takes no new work now; None if it does."""
+        if self.board.read(LEAVING):
+            return refuse(ErrorKind.LEAVING, f"{self.settings.node} is leaving")
+        if self.board.read(CONFIG) is None:
+            return refuse(ErrorKind.NO_CONFIG, "no configuration is in force here")
+        if self._silence_s() > self.settings.isolation_bound_s:
+            reason = "cut off from peers and object API; configuration may be old"
+            return refuse(ErrorKind.NO_CONFIG, reason)
+        return None
+
+    def _silence_s(self) -> float:
+        """Return the time since a peer or the object API was heard."""
+        return min(self.membership.silence_s(), self.root.silence_s())
+
+    @singledispatchmethod
+    async def handle(self, message: Any, peer: Peer) -> Any:
+        """Answer a message that every node understands."""
+        name = type(message).__name__
+        return refuse(ErrorKind.BAD_REQUEST, f"{name} is not for this node")
+
+    @handle.register
+    async def _(self, message: RootOffer, peer: Peer) -> Any:
+        self.membership.peer_is_heard(peer.node)
+        address = self.membership.address_of(peer.node)
+        if message.generation > self.root.generation and address:
+            self.spawn(self.root.fetch_from_peer(address, message.generation))
+        return RootOffer(self.root.generation)
+
+    @handle.register
+    async def _(self, message: FetchRoot, peer: Peer) -> Any:
+        return self.root.answer_fetch(message)
+
+    @handle.register
+    async def _(self, message: MemberChanges, peer: Peer) -> Any:
+        self.membership.take(message.records)
+        return Acknowledged()
+
+    @handle.register
+    async def _(self, message: BucketRecords, peer: Peer) -> Any:
+        self.membership.take(message.records)
+        return Acknowledged()
+
+    @handle.register
+    async def _(self, message: Digest, peer: Peer) -> Any:
+        self.membership.peer_is_heard(peer.node)
+        return self.membership.answer_digest(message)
+
+    def spawn(self, work: Any) -> asyncio.Task[Any]:
+        """Run ``work`` beside the node, until it ends or the node closes."""
+        task: asyncio.Task[Any] = asyncio.create_task(work)
+        self._tasks.append(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        if task in self._tasks:
+            self._tasks.remove(task)
+        if not task.cancelled() and task.exception() is not None:
+            _log.error("task.failed", exc_info=task.exception())
+
+    async def start(self, server: LinkServer) -> None:
+        """Listen, join and get a root."""
+        await server.start(self.settings.link_address)
+        self.spawn(self.membership.run())
+        self.spawn(self._keep_root_known())
+
+    async def _keep_root_known(self) -> None:
+        """Ask the object API while no root is known or no peer speaks."""
+        while True:
+            is_silent = self.membership.silence_s() > _SILENT_S
+            if self.root.generation == 0 or is_silent:
+                await self.root.fetch_from_store()
+            await asyncio.sleep(_STORE_PAUSE_S)
+
+    def leave(self) -> None:
+        """Declare that this node is leaving; idempotent."""
+        if not self.board.read(LEAVING):
+            _log.info("node.leaving")
+            self.board.write(LEAVING, True)
+            self.membership.declare_leaving()
+
+    async def close(self) -> None:
+        """Stop what runs beside the node and close its links."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.pool.close()
+        self.tracing.close()
--- /dev/null
+++ b/pistachioglade/controllers/_root.py
@@ -0,0 +1,144 @@
+"""Brings the root to this node and passes it on; takes higher generations only."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from types import MappingProxyType
+from typing import Final
+
+from ..blackboard import Blackboard
+from ..config import ServiceConfig, config_from_parts, digest_of
+from ..errors import ErrorKind, Refusal, refuse
+from ..links import LinkPool
+from ..messages import FetchRoot, RootSnapshot, RootState
+from ..platform import ROOT_PATH, ObjectApi, RootStore, StoredObject
+from ..telemetry import logger
+from ._facts import CONFIG, NEWEST, ROOT
+
+_log = logger(__name__)
+
+_FETCH_TIMEOUT_S: Final = 3.0
+_WATCH_WAIT_S: Final = 20.0
+_WATCH_PAUSE_S: Final = 0.5
+
+#: Tells the peers of this node which generation it has.
+Announce = Callable[[int], Awaitable[None]]
+
+
+class RootController:
+    """The one writer of :data:`ROOT`, :data:`CONFIG` and :data:`NEWEST`."""
+
+    def __init__(
+        self, board: Blackboard, pool: LinkPool, api: ObjectApi, store: RootStore
+    ) -> None:
+        self._board = board
+        self._pool = pool
+        self._api = api
+        self._store = store
+        self._fetching = asyncio.Lock()
+        self._announce: Announce | None = None
+        self._last_read_s = time.monotonic()
+
+    def on_change(self, announce: Announce) -> None:
+        """Name what is called after each change."""
+        self._announce = announce
+
+    @property
+    def generation(self) -> int:
+        """The generation in force here; 0 before there is one."""
+        snapshot = self._board.read(ROOT)
+        return snapshot.root.generation if snapshot else 0
+
+    def silence_s(self) -> float:
+        """Return the time since the object API was read."""
+        return time.monotonic() - self._last_read_s
+
+    def known_parts(self) -> dict[str, str]:
+        """Return the parts in force here, by digest."""
+        snapshot = self._board.read(ROOT)
+        return dict(snapshot.parts) if snapshot else {}
+
+    def answer_fetch(self, message: FetchRoot) -> RootSnapshot | Refusal:
+        """Answer a peer that asks for the root."""
+        snapshot = self._board.read(ROOT)
+        if snapshot is None:
+            return refuse(ErrorKind.NO_CONFIG, "no root is known here")
+        known = set(message.known_parts)
+        parts = {
+            digest: text
+            for digest, text in snapshot.parts.items()
+            if digest not in known
+        }
+        return RootSnapshot(snapshot.root, parts)
+
+    async def fetch_from_peer(self, address: str, generation: int) -> None:
+        """Fetch the root from a peer that has offered a higher generation."""
+        async with self._fetching:
+            if generation <= self.generation:
+                return
+            known = self.known_parts()
+            message = FetchRoot(tuple(known))
+            answer = await self._pool.call(address, message, _FETCH_TIMEOUT_S)
+            if isinstance(answer, RootSnapshot):
+                await self.adopt(answer.root, known | answer.parts)
+
+    async def fetch_from_store(self) -> None:
+        """Fetch the root from the object API."""
+        root = await asyncio.to_thread(self._store.read)
+        if isinstance(root, RootState):
+            self._last_read_s = time.monotonic()
+            await self.take(root)
+
+    async def take(self, root: RootState) -> None:
+        """Take a root that the object API holds."""
+        if root.generation <= self.generation:
+            return
+        known = self.known_parts()
+        snapshot = await asyncio.to_thread(self._store.snapshot, root, known)
+        if isinstance(snapshot, RootSnapshot):
+            await self.adopt(snapshot.root, snapshot.parts)
+
+    async def adopt(self, root: RootState, parts: dict[str, str]) -> None:
+        """Put a root in force, if it is higher and whole."""
+        if root.generation <= self.generation:
+            return
+        config = _whole_config(root, parts)
+        if config is None:
+            _log.warning("root.incomplete", generation=root.generation)
+            return
+        kept = {digest: parts[digest] for digest in root.parts.values()}
+        self._board.write(CONFIG, config)
+        self._board.write(NEWEST, MappingProxyType(dict(root.models)))
+        self._board.write(ROOT, RootSnapshot(root, kept))
+        _log.info("root.adopted", generation=root.generation)
+        if self._announce is not None:
+            await self._announce(root.generation)
+
+    async def watch(self) -> None:
+        """Follow the root in the object API, for as long as the process runs."""
+        version = 0
+        while True:
+            found = await asyncio.to_thread(
+                self._api.watch, ROOT_PATH, version, _WATCH_WAIT_S
+            )
+            if isinstance(found, StoredObject):
+                version = found.version
+                await self.fetch_from_store()
+            elif isinstance(found, Refusal):
+                await asyncio.sleep(_WATCH_PAUSE_S)
+
+
+def _whole_config(root: RootState, parts: dict[str, str]) -> ServiceConfig | None:
+    """Return the configuration, or None unless every part is there and intact."""
+    texts = {name: parts.get(digest) for name, digest in root.parts.items()}
+    whole = {name: text for name, text in texts.items() if text is not None}
+    intact = all(digest_of(text) == root.parts[name] for name, text in whole.items())
+    if len(whole) != len(texts) or not intact:
+        return None
+    try:
+        return config_from_parts(whole)
+    except Exception:  # cattrs groups errors of any type
+        _log.exception("root.unreadable", generation=root.generation)
+        return None
--- /dev/null
+++ b/pistachioglade/ctl/__init__.py
@@ -0,0 +1,5 @@
+"""The operators' command line."""
+
+from ._program import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/pistachioglade/ctl/_program.py
@@ -0,0 +1,310 @@
+"""The operators' program.
+
+Exit codes: 0 done, 1 refused or not reached, 2 wrong usage or a faulty file,
+3 the outcome is not known, 4 applied and not yet in force everywhere.
+"""
+
+from __future__ import annotations
+
+import difflib
+import json
+import sys
+import time
+from collections.abc import Callable
+from functools import wraps
+from pathlib import Path
+from typing import Any, Final
+
+import click
+import yaml
+
+from ..config import SettingsError, check_document, config_to_parts, read_secret
+from ..errors import ErrorKind
+from ..messages import structure
+from ..report import Report, render_csv, render_html, render_text
+from ._client import AdminClient, AdminError
+from ._trace import read_spans, render_trace, slowest_trace
+
+EXIT_REFUSED: Final = 1
+EXIT_FAULTY: Final = 2
+EXIT_UNKNOWN: Final = 3
+EXIT_NOT_EVERYWHERE: Final = 4
+_POLL_S: Final = 0.2
+_RETRY_PAUSE_S: Final = 1.0
+_UNKNOWN_KINDS: Final = frozenset({ErrorKind.PLATFORM_UNCERTAIN, ErrorKind.LINK_LOST})
+
+
+def _reports_errors(command: Callable[..., None]) -> Callable[..., None]:
+    """Turn a refusal into a message on standard error and an exit code."""
+
+    @wraps(command)
+    def wrapper(*arguments: Any, **options: Any) -> None:
+        try:
+            command(*arguments, **options)
+        except AdminError as error:
+            click.echo(str(error), err=True)
+            is_unknown = error.kind in _UNKNOWN_KINDS
+            sys.exit(EXIT_UNKNOWN if is_unknown else EXIT_REFUSED)
+        except SettingsError as error:
+            click.echo(str(error), err=True)
+            sys.exit(EXIT_FAULTY)
+
+    return wrapper
+
+
+class _Context:
+    """Options of every command."""
+
+    def __init__(self, urls: tuple[str, ...], token_file: str, output: str) -> None:
+        self._urls = urls
+        self._token_file = token_file
+        self.as_json = output == "json"
+
+    def client(self) -> AdminClient:
+        """Return a client for the entries that were named."""
+        if not self._urls or not self._token_file:
+            raise SettingsError(
+                "name an entry with --url and a token with --token-file"
+            )
+        return AdminClient(self._urls, read_secret(self._token_file))
+
+    def show(self, fields: Any, text: str) -> None:
+        """Print the outcome in the chosen form."""
+        click.echo(json.dumps(fields, indent=2) if self.as_json else text)
+
+
+@click.group()
+@click.option(
+    "--url",
+    "urls",
+    multiple=True,
+    envvar="PISTACHIOGLADE_URL",
+    help="Base URL of an entry; may stand several times.",
+)
+@click.option(
+    "--token-file",
+    default="",
+    envvar="PISTACHIOGLADE_TOKEN_FILE",
+    help="File with the operator's token.",
+)
+@click.option("--output", type=click.Choice(["table", "json"]), default="table")
+@click.pass_context
+def main(
+    context: click.Context, urls: tuple[str, ...], token_file: str, output: str
+) -> None:
+    """Operate a deployment: files, status, drain, report, traces."""
+    context.obj = _Context(urls, token_file, output)
+
+
+def _read_file(path: str) -> str:
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+
+
+def _checked_file(path: str) -> str:
+    """Return the text of a declarative file that has no fault."""
+    text = _read_file(path)
+    _config, faults = check_document(text)
+    if faults:
+        raise SettingsError("\n".join(f"{path}: {fault}" for fault in faults))
+    return text
+
+
+@main.command("check")
+@click.argument("path")
+@click.pass_obj
+@_reports_errors
+def _check(context: _Context, path: str) -> None:
+    """Check a declarative file; name every fault with its line and field."""
+    _config, faults = check_document(_read_file(path))
+    fields = {
+        "valid": not faults,
+        "faults": [
+            {"line": item.line, "field": item.field, "reason": item.reason}
+            for item in faults
+        ],
+    }
+    text = "\n".join(f"{path}: {fault}" for fault in faults) or f"{path}: no fault"
+    context.show(fields, text)
+    if faults:
+        sys.exit(EXIT_FAULTY)
+
+
+def _as_yaml(sections: dict[str, Any]) -> list[str]:
+    return yaml.safe_dump(sections, sort_keys=True).splitlines()
+
+
+@main.command("diff")
+@click.argument("path")
+@click.pass_obj
+@_reports_errors
+def _diff(context: _Context, path: str) -> None:
+    """Show what applying a file would change."""
+    config, _faults = check_document(_checked_file(path))
+    assert config is not None
+    parts = config_to_parts(config)
+    wanted = {name: json.loads(text) for name, text in parts.items()}
+    current = context.client().call("GET", "config")
+    lines = list(
+        difflib.unified_diff(
+            _as_yaml(current["config"]),
+            _as_yaml(wanted),
+            f"generation {current['generation']}",
+            path,
+            lineterm="",
+        )
+    )
+    fields = {"generation": current["generation"], "diff": lines}
+    context.show(fields, "\n".join(lines) or "no difference")
+
+
+@main.command("apply")
+@click.argument("path")
+@click.option("--wait-s", default=30.0, help="Longest wait for all nodes.")
+@click.option(
+    "--base-generation",
+    type=int,
+    default=None,
+    help="Refuse unless this generation is in force.",
+)
+@click.pass_obj
+@_reports_errors
+def _apply(
+    context: _Context, path: str, wait_s: float, base_generation: int | None
+) -> None:
+    """Put a file in force, whole or not at all; safe to repeat."""
+    text = _checked_file(path)
+    client = context.client()
+    applied = _apply_settled(client, text, base_generation, wait_s)
+    generation = int(applied["generation"])
+    behind = _wait_everywhere(client, generation, wait_s)
+    fields = {**applied, "not_in_force_at": behind}
+    where = f"not yet at {', '.join(behind)}" if behind else "everywhere"
+    context.show(fields, f"generation {generation} in force {where}")
+    if behind:
+        sys.exit(EXIT_NOT_EVERYWHERE)
+
+
+def _apply_settled(
+    client: AdminClient, text: str, base_generation: int | None, wait_s: float
+) -> Any:
+    """Apply a file; after a lost answer, ask again, which changes nothing twice."""
+    query = "" if base_generation is None else f"?base_generation={base_generation}"
+    deadline_s = time.monotonic() + wait_s
+    while True:
+        try:
+            return client.call("PUT", f"config{query}", text.encode())
+        except AdminError as error:
+            is_settled = error.kind not in _UNKNOWN_KINDS
+            if is_settled or query or time.monotonic() > deadline_s:
+                raise
+            click.echo(f"{error}; asking again", err=True)
+            time.sleep(_RETRY_PAUSE_S)
+
+
+def _wait_everywhere(client: AdminClient, generation: int, wait_s: float) -> list[str]:
+    """Wait for a generation; return the nodes that don't have it by then."""
+    deadline_s = time.monotonic() + wait_s
+    while True:
+        nodes = client.call("GET", "status")["nodes"]
+        live = [node for node in nodes if node["state"] != "dead"]
+        behind = [node["node"] for node in live if _generation(node) < generation]
+        if not behind or time.monotonic() > deadline_s:
+            return behind
+        reached = len(live) - len(behind)
+        click.echo(f"in force at {reached} of {len(live)} nodes", err=True)
+        time.sleep(_POLL_S)
+
+
+def _generation(node: dict[str, Any]) -> int:
+    status = node["status"]
+    return int(status["generation"]) if status else 0
+
+
+@main.command("status")
+@click.pass_obj
+@_reports_errors
+def _status(context: _Context) -> None:
+    """Show the nodes: state, generation, weights, load."""
+    fields = context.client().call("GET", "status")
+    context.show(fields, "\n".join(_status_lines(fields)))
+
+
+def _status_lines(fields: dict[str, Any]) -> list[str]:
+    newest = ", ".join(f"{name}: {number}" for name, number in fields["models"].items())
+    lines = [f"generation {fields['generation']}; newest weights {newest or 'none'}"]
+    for node in fields["nodes"]:
+        status = node["status"] or {}
+        versions = "; ".join(
+            f"{name} {made}"
+            for name, made in status.get("versions", {}).items()
+            if made
+        )
+        lines.append(
+            f"{node['node']:28} {node['role']:6} {node['state']:8} "
+            f"{node['domain']:12} generation {status.get('generation', '-'):>4} "
+            f"running {status.get('running', '-'):>3} "
+            f"queued {status.get('queued', '-'):>3} {versions}".rstrip()
+        )
+    return lines
+
+
+@main.command("drain")
+@click.argument("node")
+@click.pass_obj
+@_reports_errors
+def _drain(context: _Context, node: str) -> None:
+    """Tell a node to leave: no new work, finish what runs, then end."""
+    fields = context.client().call("POST", f"drain/{node}")
+    context.show(fields, f"{node} is leaving")
+
+
+@main.command("report")
+@click.option("--since-unix-s", type=float, default=0.0, help="Start of the span.")
+@click.option("--until-unix-s", type=float, default=None, help="End of the span.")
+@click.option(
+    "--form",
+    type=click.Choice(["table", "json", "csv", "html"]),
+    default=None,
+    help="Form of the report; --output by default.",
+)
+@click.pass_obj
+@_reports_errors
+def _report(
+    context: _Context,
+    since_unix_s: float,
+    until_unix_s: float | None,
+    form: str | None,
+) -> None:
+    """Report who got what, from which versions, how late, what was refused."""
+    path = f"report?since_unix_s={since_unix_s}"
+    if until_unix_s is not None:
+        path += f"&until_unix_s={until_unix_s}"
+    fields = context.client().call("GET", path)
+    chosen = form or ("json" if context.as_json else "table")
+    if chosen == "json":
+        click.echo(json.dumps(fields, indent=2))
+        return
+    report = structure(fields, Report)
+    renderers = {"table": render_text, "csv": render_csv, "html": render_html}
+    click.echo(renderers[chosen](report))
+
+
+@main.command("trace")
+@click.argument("path")
+@click.option("--trace-id", default="", help="Trace to show; the slowest by default.")
+@click.pass_obj
+@_reports_errors
+def _trace(context: _Context, path: str, trace_id: str) -> None:
+    """Show the hops of one request from a file of spans."""
+    try:
+        spans = read_spans(Path(path))
+    except (OSError, ValueError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    if not spans:
+        raise SettingsError(f"{path}: has no spans")
+    chosen = trace_id or slowest_trace(spans)
+    lines = render_trace(spans, chosen)
+    context.show({"trace_id": chosen, "hops": lines}, "\n".join([chosen, *lines]))
--- /dev/null
+++ b/pistachioglade/decisions/_hashing.py
@@ -0,0 +1,20 @@
+"""Hashes that are the same in every process."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+
+def stable_hash(*parts: str) -> int:
+    """Return a 64-bit hash of the texts."""
+    digest = hashlib.blake2b("\x00".join(parts).encode(), digest_size=8)
+    return int.from_bytes(digest.digest(), "big")
+
+
+def rendezvous_order(key: str, nodes: Iterable[str]) -> list[str]:
+    """Return ``nodes`` by falling preference for ``key``.
+
+    A node's leaving moves just the keys that preferred it.
+    """
+    return sorted(nodes, key=lambda node: stable_hash(key, node), reverse=True)
--- /dev/null
+++ b/pistachioglade/decisions/_retry.py
@@ -0,0 +1,53 @@
+"""When a failed request may be tried again."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..errors import ErrorKind, Refusal
+
+#: Retries that are allowed before any first try was counted.
+_INITIAL_TOKENS: Final = 3.0
+#: Most retries that can be saved up.
+_MAX_TOKENS: Final = 50.0
+#: Least time that must be left for another try.
+_MIN_REMAINING_S: Final = 0.05
+
+_FINAL_KINDS: Final = frozenset(
+    {
+        ErrorKind.BAD_REQUEST,
+        ErrorKind.UNAUTHENTICATED,
+        ErrorKind.FORBIDDEN,
+        ErrorKind.NOT_FOUND,
+        ErrorKind.CONFLICT,
+        ErrorKind.TOO_LARGE,
+        ErrorKind.KEY_SPENT,
+        ErrorKind.CANCELLED,
+    }
+)
+
+
+class RetryBudget:
+    """Holds retries to a fixed part of the first tries."""
+
+    def __init__(self, percent: int) -> None:
+        self._ratio = percent / 100.0
+        self._tokens = _INITIAL_TOKENS
+
+    def first_try(self) -> None:
+        """Count a first try."""
+        self._tokens = min(_MAX_TOKENS, self._tokens + self._ratio)
+
+    def take(self) -> bool:
+        """Use one retry, if there is one."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def may_retry(refusal: Refusal, idempotent: bool, remaining_s: float) -> bool:
+    """Return whether a request may go to another instance after ``refusal``."""
+    if refusal.kind in _FINAL_KINDS or remaining_s < _MIN_REMAINING_S:
+        return False
+    return refusal.did_not_run or idempotent
--- /dev/null
+++ b/pistachioglade/entry/_steps.py
@@ -0,0 +1,104 @@
+"""The way of a trainer's requests to the owner of its steps."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Final
+
+from ..config import Trainer
+from ..controllers import MEMBERS, Node, usable_agents
+from ..decisions import rendezvous_order
+from ..errors import ErrorKind, Refusal, refuse
+from ..messages import FetchSamples, OpenStep, OwnerIs, SampleBatch, StepOpened
+
+_PAUSE_S: Final = 0.15
+_OPEN_TIMEOUT_S: Final = 15.0
+_ANSWER_MARGIN_S: Final = 5.0
+
+StepMessage = OpenStep | FetchSamples
+
+#: Refusals after which another node may be the owner.
+_ELSEWHERE: Final = frozenset(
+    {
+        ErrorKind.LINK_LOST,
+        ErrorKind.LINK_NOT_OPEN,
+        ErrorKind.LEAVING,
+        ErrorKind.NO_CONFIG,
+    }
+)
+
+
+class StepRouter:
+    """Finds the owner of each trainer's steps; any entry can serve any trainer."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._owners: dict[str, str] = {}
+
+    async def send(
+        self, trainer: Trainer, message: StepMessage, budget_s: float
+    ) -> StepOpened | SampleBatch | Refusal:
+        """Send a message to the owner; both kinds may be sent twice."""
+        deadline_s = time.monotonic() + budget_s
+        passed: set[str] = set()
+        last = refuse(ErrorKind.NO_UPSTREAM, "no agent of the trainer is known")
+        while time.monotonic() < deadline_s:
+            owner = self._owners.get(trainer.name) or self._first(trainer, passed)
+            if owner is None:
+                if not passed:
+                    return last
+                passed.clear()
+                await asyncio.sleep(_PAUSE_S)
+                continue
+            answer = await self._ask(owner, message)
+            if isinstance(answer, StepOpened | SampleBatch):
+                self._owners[trainer.name] = owner
+                return answer
+            last = await self._learn(trainer, owner, answer, passed)
+            if last.kind not in _ELSEWHERE and last.kind is not ErrorKind.NOT_OWNER:
+                return last
+        return last
+
+    def _first(self, trainer: Trainer, passed: set[str]) -> str | None:
+        agents = {
+            record.node
+            for upstream in trainer.upstreams
+            for record in usable_agents(self._node.board, upstream)
+        }
+        return next(iter(rendezvous_order(trainer.name, agents - passed)), None)
+
+    async def _ask(
+        self, owner: str, message: StepMessage
+    ) -> StepOpened | SampleBatch | OwnerIs | Refusal:
+        record = self._node.board.read(MEMBERS).get(owner)
+        if record is None:
+            return refuse(ErrorKind.LINK_NOT_OPEN, f"{owner} is not known")
+        timeout_s = _OPEN_TIMEOUT_S
+        if isinstance(message, FetchSamples):
+            timeout_s = message.wait_s + _ANSWER_MARGIN_S
+        answer = await self._node.pool.call(record.address, message, timeout_s)
+        if isinstance(answer, StepOpened | SampleBatch | OwnerIs | Refusal):
+            return answer
+        return refuse(ErrorKind.INTERNAL, f"unexpected {type(answer).__name__}")
+
+    async def _learn(
+        self,
+        trainer: Trainer,
+        owner: str,
+        answer: OwnerIs | Refusal,
+        passed: set[str],
+    ) -> Refusal:
+        """Note who the owner is or is not; return the refusal so far."""
+        if isinstance(answer, OwnerIs):
+            self._owners[trainer.name] = answer.owner
+            reason = f"{answer.owner} has the lease on the steps of {trainer.name}"
+            if answer.owner in passed:
+                await asyncio.sleep(_PAUSE_S)
+                self._owners.pop(trainer.name, None)
+                passed.clear()
+            return refuse(ErrorKind.NOT_OWNER, reason)
+        if answer.kind in _ELSEWHERE:
+            self._owners.pop(trainer.name, None)
+            passed.add(owner)
+        return answer
--- /dev/null
+++ b/pistachioglade/entry/_usage.py
@@ -0,0 +1,124 @@
+"""Counts what this entry answered and refused, and writes it for the report."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+import time
+from collections import Counter
+from typing import Final
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from ..controllers import Node
+from ..errors import ErrorKind, Refusal
+from ..messages import unstructure
+from ..platform import StoredObject
+from ..report import UsageRecord
+from ..telemetry import logger
+
+_log = logger(__name__)
+
+_WRITE_INTERVAL_S: Final = 5.0
+#: Answer times that a histogram holds, in microseconds.
+_LOWEST_US: Final = 1
+_HIGHEST_US: Final = 3_600_000_000
+_DIGITS: Final = 2
+#: Different reasons that are counted for one caller; more are counted as one.
+_MAX_REASONS: Final = 50
+
+
+@attrs.define
+class _Tally:
+    # Kind of the caller.
+    kind: str
+    # Requests that were answered.
+    answered: int = 0
+    # Refusals by kind and reason.
+    refusals: Counter[str] = attrs.field(factory=Counter)
+    # Answer times.
+    latency: HdrHistogram = attrs.field(
+        factory=lambda: HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+    )
+
+
+class UsageRecorder:
+    """One span of time after the other, each in an object of its own."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._lock = threading.Lock()
+        self._since_unix_s = time.time()
+        self._tallies: dict[str, _Tally] = {}
+        self._unwritten: list[tuple[UsageRecord, ...]] = []
+        self._number = 0
+
+    def _tally(self, caller: str, kind: str) -> _Tally:
+        return self._tallies.setdefault(caller, _Tally(kind))
+
+    def answered(self, caller: str, kind: str, duration_s: float) -> None:
+        """Count an answered request."""
+        with self._lock:
+            tally = self._tally(caller, kind)
+            tally.answered += 1
+            micros = min(_HIGHEST_US, max(_LOWEST_US, int(duration_s * 1e6)))
+            tally.latency.record_value(micros)
+
+    def refused(self, caller: str, kind: str, refusal: Refusal) -> None:
+        """Count a refused request with its reason."""
+        with self._lock:
+            refusals = self._tally(caller, kind).refusals
+            name = f"{refusal.kind.value}: {refusal.reason}"
+            if name not in refusals and len(refusals) >= _MAX_REASONS:
+                name = f"{refusal.kind.value}: other reasons"
+            refusals[name] += 1
+
+    async def run(self) -> None:
+        """Write for as long as the process runs."""
+        while True:
+            await asyncio.sleep(_WRITE_INTERVAL_S)
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Close the current span and write what is not written yet."""
+        self._close_span()
+        while self._unwritten:
+            if not await self._write(self._unwritten[0]):
+                return
+            self._unwritten.pop(0)
+            self._number += 1
+
+    def _close_span(self) -> None:
+        with self._lock:
+            until_unix_s = time.time()
+            tallies, self._tallies = self._tallies, {}
+            since_unix_s, self._since_unix_s = self._since_unix_s, until_unix_s
+        if tallies:
+            self._unwritten.append(
+                tuple(
+                    UsageRecord(
+                        since_unix_s,
+                        until_unix_s,
+                        caller,
+                        tally.kind,
+                        tally.answered,
+                        dict(tally.refusals),
+                        tally.latency.encode().decode(),
+                    )
+                    for caller, tally in tallies.items()
+                )
+            )
+
+    async def _write(self, records: tuple[UsageRecord, ...]) -> bool:
+        node = f"{self._node.settings.node}.{self._node.incarnation}"
+        path = f"usage/{node}/{self._number:08d}"
+        value = unstructure(records)
+        api = self._node.api
+        result = await asyncio.to_thread(api.put, path, value, 0)
+        if not isinstance(result, Refusal):
+            return True
+        if result.kind in (ErrorKind.CONFLICT, ErrorKind.PLATFORM_UNCERTAIN):
+            stored = await asyncio.to_thread(api.get, path)
+            return isinstance(stored, StoredObject)
+        return False
--- /dev/null
+++ b/pistachioglade/links/__init__.py
@@ -0,0 +1,7 @@
+"""Links between the system's processes: CBOR frames over websockets."""
+
+from ._client import Link, LinkPool
+from ._identity import Identity
+from ._server import LinkHandler, LinkServer, Peer
+
+__all__ = ["Identity", "Link", "LinkHandler", "LinkPool", "LinkServer", "Peer"]
--- /dev/null
+++ b/pistachioglade/links/_server.py
@@ -0,0 +1,121 @@
+"""The answering end of links."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Any, Final
+
+import attrs
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import ConnectionClosed
+from websockets.http11 import Request, Response
+
+from ..errors import ErrorKind, Refusal, refuse
+from ..messages import MAX_FRAME_BYTES, decode_frame, encode_frame
+from ..telemetry import logger
+from ._client import PING_INTERVAL_S, PING_TIMEOUT_S
+from ._identity import Identity
+
+_log = logger(__name__)
+
+#: Requests of one link that are handled at the same time.
+MAX_CONCURRENT: Final = 20_000
+
+
+@attrs.frozen
+class Peer:
+    """Who is at the other end of a link."""
+
+    # Node id, proved when the link was opened.
+    node: str
+
+
+#: Answers one message of a peer.
+LinkHandler = Callable[[Any, Peer], Awaitable[Any]]
+
+
+class LinkServer:
+    """Listens for links and hands their messages to one handler."""
+
+    def __init__(self, identity: Identity, handler: LinkHandler) -> None:
+        self._identity = identity
+        self._handler = handler
+        self._server: Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, address: str) -> None:
+        """Listen at ``address``, a host and a port."""
+        host, _, port = address.rpartition(":")
+        self._server = await serve(
+            self._serve_link,
+            host,
+            int(port),
+            process_request=self._check_peer,
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_TIMEOUT_S,
+            close_timeout=1.0,
+        )
+
+    def _check_peer(
+        self, connection: ServerConnection, request: Request
+    ) -> Response | None:
+        verdict = self._identity.verify(request.headers)
+        if isinstance(verdict, Refusal):
+            _log.warning("link.refused", reason=verdict.reason)
+            return connection.respond(HTTPStatus(verdict.status), verdict.reason + "\n")
+        return None
+
+    async def _serve_link(self, connection: ServerConnection) -> None:
+        request = connection.request
+        assert request is not None
+        node = self._identity.verify(request.headers)
+        assert isinstance(node, str)
+        limit = asyncio.Semaphore(MAX_CONCURRENT)
+        try:
+            async for frame in connection:
+                await limit.acquire()
+                task = asyncio.create_task(self._answer(connection, Peer(node), frame))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+                task.add_done_callback(lambda _task: limit.release())
+        except ConnectionClosed:
+            pass
+
+    async def _answer(
+        self, connection: ServerConnection, peer: Peer, frame: str | bytes
+    ) -> None:
+        data = frame if isinstance(frame, bytes) else frame.encode()
+        envelope = decode_frame(data)
+        if isinstance(envelope, Refusal):
+            _log.warning("link.bad_frame", peer=peer.node, reason=envelope.reason)
+            answer: Any = envelope
+            number = 0
+        else:
+            number = envelope.correlation_id
+            answer = await self._handle(envelope.message, peer)
+        try:
+            await connection.send(encode_frame(number, answer))
+        except ConnectionClosed:
+            _log.info("link.answer_lost", peer=peer.node, kind=type(answer).__name__)
+
+    async def _handle(self, message: Any, peer: Peer) -> Any:
+        try:
+            return await self._handler(message, peer)
+        except Exception as error:  # a fault of one request must not end the link
+            _log.exception("link.handler_failed", kind=type(message).__name__)
+            return refuse(ErrorKind.INTERNAL, f"{type(error).__name__}: {error}")
+
+    async def drain(self, timeout_s: float) -> None:
+        """Wait for the requests that are being handled."""
+        if self._tasks:
+            await asyncio.wait(tuple(self._tasks), timeout=timeout_s)
+
+    async def close(self) -> None:
+        """Close every link and stop listening."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
--- /dev/null
+++ b/pistachioglade/platform/_root_store.py
@@ -0,0 +1,130 @@
+"""The root object: one conditional swap for every accepted change.
+
+A root keeps the tags of its last writers. After a lost answer the writer reads
+back: its tag tells that the write took effect, a newer version without it that
+it never will.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Mapping
+from itertools import count
+from typing import Final
+
+import attrs
+
+from ..errors import ErrorKind, Refusal, refuse
+from ..messages import RootSnapshot, RootState, structure, unstructure
+from ._object_api import ObjectApi, StoredObject
+
+ROOT_PATH: Final = "root"
+#: Writers that a root remembers.
+_RECENT_WRITES: Final = 32
+#: Time within which a write has to be settled.
+_SETTLE_S: Final = 8.0
+_PAUSE_S: Final = 0.1
+
+#: Returns the root that should follow, or why there can be none.
+RootChange = Callable[[RootState], RootState | Refusal]
+
+
+@attrs.frozen
+class _Versioned:
+    # Version of the object; 0 if there is none yet.
+    version: int
+    # The root.
+    root: RootState
+
+
+class RootStore:
+    """Reads and swaps the root."""
+
+    def __init__(self, api: ObjectApi, writer: str) -> None:
+        self._api = api
+        self._writer = writer
+        self._sequence = count(1)
+
+    def read(self) -> RootState | Refusal:
+        """Return the root in the object API."""
+        found = self._read()
+        return found if isinstance(found, Refusal) else found.root
+
+    def _read(self) -> _Versioned | Refusal:
+        stored = self._api.get(ROOT_PATH)
+        if isinstance(stored, StoredObject):
+            return _Versioned(stored.version, structure(stored.value, RootState))
+        if stored.kind is ErrorKind.NOT_FOUND:
+            return _Versioned(0, RootState(0))
+        return stored
+
+    def snapshot(
+        self, root: RootState, known: Mapping[str, str]
+    ) -> RootSnapshot | Refusal:
+        """Return a root with its parts, reading those that are not ``known``."""
+        parts: dict[str, str] = {}
+        for digest in root.parts.values():
+            if digest in known:
+                parts[digest] = known[digest]
+                continue
+            stored = self._api.get(f"parts/{digest}")
+            if isinstance(stored, Refusal):
+                return stored
+            parts[digest] = stored.value["text"]
+        return RootSnapshot(root, parts)
+
+    def write_parts(self, parts: Mapping[str, str]) -> Refusal | None:
+        """Write parts by their digests; one that exists already is the same."""
+        for digest, text in parts.items():
+            result = self._api.put(f"parts/{digest}", {"text": text}, 0)
+            if isinstance(result, Refusal) and result.kind is not ErrorKind.CONFLICT:
+                return refuse(ErrorKind.PLATFORM_UNAVAILABLE, result.reason)
+        return None
+
+    def commit(self, change: RootChange) -> RootState | Refusal:
+        """Swap the root; the answer is settled, or says that it could not be."""
+        deadline_s = time.monotonic() + _SETTLE_S
+        tag = f"{self._writer}:{next(self._sequence)}"
+        maybe_written = False
+        while time.monotonic() < deadline_s:
+            found = self._read()
+            if isinstance(found, Refusal):
+                if not maybe_written:
+                    return found
+                time.sleep(_PAUSE_S)
+                continue
+            earlier = _generation_of(found.root, tag)
+            if earlier is not None:
+                return found.root
+            target = change(found.root)
+            if isinstance(target, Refusal) or target == found.root:
+                return target
+            result = self._swap(found, target, tag)
+            if not isinstance(result, Refusal):
+                return result
+            if result.kind is ErrorKind.PLATFORM_UNAVAILABLE and not maybe_written:
+                return result
+            maybe_written |= result.kind is ErrorKind.PLATFORM_UNCERTAIN
+            time.sleep(_PAUSE_S)
+        return refuse(ErrorKind.PLATFORM_UNCERTAIN, "the write could not be settled")
+
+    def _swap(
+        self, found: _Versioned, target: RootState, tag: str
+    ) -> RootState | Refusal:
+        generation = found.root.generation + 1
+        recent = (f"{tag}:{generation}", *found.root.recent_writes)
+        root = attrs.evolve(
+            target, generation=generation, recent_writes=recent[:_RECENT_WRITES]
+        )
+        result = self._api.put(ROOT_PATH, unstructure(root), found.version)
+        return result if isinstance(result, Refusal) else root
+
+
+def _generation_of(root: RootState, tag: str) -> int | None:
+    """Return the generation that the write of ``tag`` made, if it is known."""
+    made = (
+        int(write.rpartition(":")[2])
+        for write in root.recent_writes
+        if write.rpartition(":")[0] == tag
+    )
+    return next(made, None)
--- /dev/null
+++ b/pistachioglade/report/__init__.py
@@ -0,0 +1,31 @@
+"""The report: who got what, from which versions, how late, what was refused."""
+
+from ._build import (
+    CallerReport,
+    Gap,
+    Report,
+    StepReport,
+    TrainerReport,
+    build_report,
+    summarise,
+)
+from ._files import render_csv, render_html
+from ._records import StepRecord, UsageRecord, pack_step, unpack_step
+from ._text import render_text
+
+__all__ = [
+    "CallerReport",
+    "Gap",
+    "Report",
+    "StepRecord",
+    "StepReport",
+    "TrainerReport",
+    "UsageRecord",
+    "build_report",
+    "pack_step",
+    "render_csv",
+    "render_html",
+    "render_text",
+    "summarise",
+    "unpack_step",
+]
--- /dev/null
+++ b/pistachioglade/report/_build.py
@@ -0,0 +1,302 @@
+"""Builds the report from what owners and entries have written."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from itertools import chain, pairwise
+from statistics import fmean
+from typing import Final
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from ..config import ServiceConfig
+from ..errors import Refusal
+from ..messages import Receipt, structure
+from ..platform import ObjectApi
+from ._records import StepRecord, UsageRecord, unpack_step
+
+#: Upper edges of the lateness histogram.
+LATENESS_EDGES_S: Final = (1, 2, 5, 10, 20, 60, 300, 1620)
+_MICROS: Final = 1e6
+
+
+@attrs.frozen
+class StepReport:
+    """One step of one trainer."""
+
+    # Number of the step.
+    step: int
+    # When the trainer opened it.
+    opened_unix_s: float
+    # Samples asked for.
+    asked: int
+    # Samples that the trainer has receipted.
+    delivered: int
+    # Time from the opening to the last receipt.
+    last_receipt_s: float
+    # Weight version to the number of samples that it made a token of.
+    versions: dict[str, int]
+    # Nodes that owned the step, one after the other.
+    owners: tuple[str, ...]
+
+
+@attrs.frozen
+class TrainerReport:
+    """One trainer over the span of the report."""
+
+    # Name of the trainer.
+    trainer: str
+    # Share promised of its upstreams, in percent.
+    share_promised_percent: float
+    # Share received of the tokens delivered to all trainers, in percent.
+    share_received_percent: float
+    # Samples asked for.
+    asked: int
+    # Samples delivered.
+    delivered: int
+    # Tokens delivered.
+    tokens: int
+    # Weight version to the number of samples that it made a token of.
+    versions: dict[str, int]
+    # Staleness in versions to the number of samples.
+    staleness_versions: dict[str, int]
+    # Upper edge in seconds to the number of samples that came within it.
+    lateness_s: dict[str, int]
+    # Mean lateness; None without samples.
+    lateness_mean_s: float | None
+    # "kind: reason", or kind for samples, to the number of refusals.
+    refusals: dict[str, int]
+    # Reason to tokens that were made and not delivered.
+    wasted_tokens: dict[str, int]
+    # The steps.
+    steps: tuple[StepReport, ...]
+    # Steps between the first and the last of which no record is left.
+    missing_steps: tuple[int, ...]
+
+
+@attrs.frozen
+class CallerReport:
+    """One caller over the span of the report."""
+
+    # Name of the caller.
+    caller: str
+    # Its kind.
+    kind: str
+    # Requests that were answered.
+    answered: int
+    # "kind: reason" to the number of refusals.
+    refusals: dict[str, int]
+    # Answer time that half of the requests stayed within.
+    p50_s: float | None
+    # Answer time that 99 of 100 requests stayed within.
+    p99_s: float | None
+
+
+@attrs.frozen
+class Gap:
+    """A span for which an entry's counts are missing."""
+
+    # Entry and incarnation.
+    node: str
+    # What is missing.
+    reason: str
+
+
+@attrs.frozen
+class Report:
+    """Who got what."""
+
+    # Start of the span.
+    since_unix_s: float
+    # End of the span.
+    until_unix_s: float
+    # Trainers by name.
+    trainers: tuple[TrainerReport, ...]
+    # Callers by name.
+    callers: tuple[CallerReport, ...]
+    # What is known to be missing.
+    gaps: tuple[Gap, ...]
+
+
+def build_report(
+    api: ObjectApi, config: ServiceConfig, since_unix_s: float, until_unix_s: float
+) -> Report | Refusal:
+    """Read the records of a span and add them up."""
+    ledger = api.list("ledger/")
+    if isinstance(ledger, Refusal):
+        return ledger
+    usage = api.list("usage/")
+    if isinstance(usage, Refusal):
+        return usage
+    records = [
+        record
+        for record in (unpack_step(item.value) for item in ledger)
+        if since_unix_s <= record.opened_unix_s <= until_unix_s
+    ]
+    spans = [
+        record
+        for item in usage
+        for record in structure(item.value, tuple[UsageRecord, ...])
+        if since_unix_s <= record.until_unix_s and record.since_unix_s <= until_unix_s
+    ]
+    return summarise(config, records, spans, since_unix_s, until_unix_s)
+
+
+def summarise(
+    config: ServiceConfig,
+    records: Sequence[StepRecord],
+    spans: Sequence[UsageRecord],
+    since_unix_s: float,
+    until_unix_s: float,
+) -> Report:
+    """Add records up."""
+    by_trainer: dict[str, list[StepRecord]] = defaultdict(list)
+    for record in records:
+        by_trainer[record.trainer].append(record)
+    by_caller: dict[str, list[UsageRecord]] = defaultdict(list)
+    for span in spans:
+        by_caller[span.caller].append(span)
+    tokens = {
+        name: sum(map(_token_count, _merged(items).values()))
+        for name, items in by_trainer.items()
+    }
+    total = sum(tokens.values())
+    trainers = tuple(
+        _trainer_report(config, name, by_trainer[name], by_caller[name], total)
+        for name in sorted(by_trainer)
+    )
+    callers = tuple(
+        _caller_report(name, items)
+        for name, items in sorted(by_caller.items())
+        if items and items[0].caller_kind != "trainer"
+    )
+    gaps = tuple(_gaps(trainers))
+    return Report(since_unix_s, until_unix_s, trainers, callers, gaps)
+
+
+def _token_count(receipt: Receipt) -> int:
+    return sum(span.token_count for span in receipt.spans)
+
+
+def _merged(records: Iterable[StepRecord]) -> dict[tuple[int, int], Receipt]:
+    """Return the one receipt of each sample, whichever owners recorded it."""
+    return {
+        (record.step, receipt.index): receipt
+        for record in records
+        for receipt in record.receipts
+    }
+
+
+def _versions(receipts: Iterable[Receipt]) -> dict[str, int]:
+    made = Counter(
+        version
+        for receipt in receipts
+        for version in {span.version for span in receipt.spans}
+    )
+    return {str(version): made[version] for version in sorted(made)}
+
+
+def _trainer_report(
+    config: ServiceConfig,
+    name: str,
+    records: Sequence[StepRecord],
+    spans: Sequence[UsageRecord],
+    total_tokens: int,
+) -> TrainerReport:
+    receipts = list(_merged(records).values())
+    steps = _step_reports(records)
+    declared = config.trainer(name)
+    tokens = sum(map(_token_count, receipts))
+    lateness = [receipt.lateness_s for receipt in receipts]
+    staleness = Counter(receipt.staleness_versions for receipt in receipts)
+    refusals = _sum_counts(
+        chain(
+            (record.refusals for record in records), (span.refusals for span in spans)
+        )
+    )
+    numbers = {step.step for step in steps}
+    return TrainerReport(
+        trainer=name,
+        share_promised_percent=float(declared.share_percent) if declared else 0.0,
+        share_received_percent=100.0 * tokens / total_tokens if total_tokens else 0.0,
+        asked=sum(step.asked for step in steps),
+        delivered=len(receipts),
+        tokens=tokens,
+        versions=_versions(receipts),
+        staleness_versions={str(key): staleness[key] for key in sorted(staleness)},
+        lateness_s=_lateness_histogram(lateness),
+        lateness_mean_s=fmean(lateness) if lateness else None,
+        refusals=refusals,
+        wasted_tokens=_sum_counts(record.wasted_tokens for record in records),
+        steps=steps,
+        missing_steps=tuple(
+            step for step in range(min(numbers), max(numbers)) if step not in numbers
+        ),
+    )
+
+
+def _sum_counts(counts: Iterable[Mapping[str, int]]) -> dict[str, int]:
+    total: Counter[str] = Counter()
+    for item in counts:
+        total.update(item)
+    return dict(sorted(total.items()))
+
+
+def _lateness_histogram(lateness: Sequence[float]) -> dict[str, int]:
+    edges = (0, *LATENESS_EDGES_S)
+    counts = {
+        str(high): sum(low < value <= high for value in lateness)
+        for low, high in pairwise(edges)
+    }
+    counts["more"] = sum(value > edges[-1] for value in lateness)
+    return counts
+
+
+def _step_reports(records: Sequence[StepRecord]) -> tuple[StepReport, ...]:
+    by_step: dict[int, list[StepRecord]] = defaultdict(list)
+    for record in records:
+        by_step[record.step].append(record)
+    return tuple(_step_report(step, by_step[step]) for step in sorted(by_step))
+
+
+def _step_report(step: int, records: Sequence[StepRecord]) -> StepReport:
+    receipts = list(_merged(records).values())
+    ordered = sorted(records, key=lambda record: len(record.receipts))
+    return StepReport(
+        step=step,
+        opened_unix_s=min(record.opened_unix_s for record in records),
+        asked=max(record.sample_count for record in records),
+        delivered=len(receipts),
+        last_receipt_s=max((receipt.lateness_s for receipt in receipts), default=0.0),
+        versions=_versions(receipts),
+        owners=tuple(record.owner for record in ordered),
+    )
+
+
+def _caller_report(name: str, spans: Sequence[UsageRecord]) -> CallerReport:
+    latency = HdrHistogram(1, 3_600_000_000, 2)
+    for span in spans:
+        latency.decode_and_add(span.latency_hdr.encode())
+    has_answers = latency.get_total_count() > 0
+    return CallerReport(
+        caller=name,
+        kind=spans[0].caller_kind,
+        answered=sum(span.answered for span in spans),
+        refusals=_sum_counts(span.refusals for span in spans),
+        p50_s=_percentile_s(latency, 50) if has_answers else None,
+        p99_s=_percentile_s(latency, 99) if has_answers else None,
+    )
+
+
+def _percentile_s(latency: HdrHistogram, percent: float) -> float:
+    return float(latency.get_value_at_percentile(percent)) / _MICROS
+
+
+def _gaps(trainers: Iterable[TrainerReport]) -> Iterable[Gap]:
+    return [
+        Gap(trainer.trainer, f"no record of step {step} is left")
+        for trainer in trainers
+        for step in trainer.missing_steps
+    ]
--- /dev/null
+++ b/pistachioglade/trainer/_http.py
@@ -0,0 +1,74 @@
+"""Requests to the entries, one after the other until one answers."""
+
+from __future__ import annotations
+
+import json
+import time
+from itertools import cycle
+from typing import Any, Final
+
+import attrs
+
+from ..errors import ANSWERS, ErrorKind, Refusal, refuse
+from ..messages import structure
+from ..platform import HttpReply, HttpSession
+
+_PAUSE_S: Final = 0.2
+
+
+class EntryClient:
+    """HTTP with a bearer token to any of several entries."""
+
+    def __init__(self, urls: tuple[str, ...], token: str) -> None:
+        self._sessions = {url: HttpSession(url) for url in urls}
+        self._turn = cycle(urls)
+        self._url = next(self._turn)
+        self._token = token
+
+    def post(
+        self,
+        path: str,
+        fields: Any,
+        timeout_s: float,
+        patience_s: float,
+        traceparent: str = "",
+    ) -> Any | Refusal:
+        """Post JSON until an entry answers; for requests that may be repeated."""
+        deadline_s = time.monotonic() + patience_s
+        headers = {
+            "Authorization": f"Bearer {self._token}",
+            "Content-Type": "application/json",
+            "traceparent": traceparent,
+        }
+        body = json.dumps(fields).encode()
+        while True:
+            reply = self._sessions[self._url].request(
+                "POST", path, timeout_s, body, headers
+            )
+            refusal = _refusal_of(reply)
+            if refusal is None and isinstance(reply, HttpReply):
+                return reply.json()
+            assert refusal is not None
+            wait_s = max(_PAUSE_S, refusal.retry_after_s or 0.0)
+            is_final = refusal.retry_after_s is None
+            if is_final or time.monotonic() + wait_s >= deadline_s:
+                return refusal
+            if refusal.kind is ErrorKind.UNKNOWN_STEP:
+                return refusal
+            self._url = next(self._turn)
+            time.sleep(min(wait_s, 1.0))
+
+
+def _refusal_of(reply: HttpReply | Refusal) -> Refusal | None:
+    if isinstance(reply, Refusal):
+        return attrs.evolve(reply, retry_after_s=_PAUSE_S)
+    if reply.status < 300:
+        return None
+    try:
+        fields = reply.json()
+        kind = ErrorKind(fields["error"])
+        execution = structure(fields["execution"], type(ANSWERS[kind].execution))
+        return Refusal(kind, fields["reason"], execution, fields["retry_after_s"])
+    except (ValueError, KeyError, TypeError):
+        reason = f"entry answered {reply.status}"
+        return refuse(ErrorKind.LINK_LOST, reason)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the whole system, with its real processes."""
