Membership: islands that form at the start find each other; seeded fault runs

Cause: the first fault run never started: "waited 60 s in vain: all nodes known". Nodes asked listed addresses only while they knew no peer at all, so two groups that started at the same moment stayed apart for ever, as would two regions that had given each other up.

Ruled out: a port taken twice (no log says so, every node started) and lost news (each node was alive and heard its own peers).

Change: a node now tries listed addresses without a live member every join_interval_s, peers or not. `pistachioglade-load faults` runs a deployment under a seeded schedule of kills, freezes, cuts, outages, races and restored trainers, and checks the promises against the stand-ins' own records.

Before: test_islands_that_formed_at_the_start_find_each_other failed after 30 s.

--- a/pistachioglade/agent/_ledger.py
+++ b/pistachioglade/agent/_ledger.py
@@ -28,10 +28,18 @@
         self._pending: dict[str, StepRecord] = {}
         self._versions: dict[str, int] = {}
 
+    def _path(self, trainer: str, step: int) -> str:
+        name = f"{self._node.settings.node}.{self._node.incarnation}"
+        return f"ledger/{trainer}/{step}/{name}"
+
     def note(self, record: StepRecord) -> None:
         """Keep the newest state of a step for the next batch."""
-        name = f"{self._node.settings.node}.{self._node.incarnation}"
-        self._pending[f"ledger/{record.trainer}/{record.step}/{name}"] = record
+        self._pending[self._path(record.trainer, record.step)] = record
+
+    def is_recorded(self, trainer: str, step: int) -> bool:
+        """Return whether the newest state of a step is in the object API."""
+        path = self._path(trainer, step)
+        return path in self._versions and path not in self._pending
 
     async def run(self) -> None:
         """Write for as long as the process runs."""
--- a/pistachioglade/agent/_owner.py
+++ b/pistachioglade/agent/_owner.py
@@ -129,7 +129,7 @@
     def _forget_finished(runs: dict[int, StepRun]) -> None:
         finished = sorted(step for step, run in runs.items() if run.plan.is_complete)
         for step in finished[:-_KEPT_STEPS]:
-            del runs[step]
+            runs.pop(step).close()
 
     async def fetch(self, message: FetchSamples) -> SampleBatch | OwnerIs | Refusal:
         """Give out samples of a step that is open here."""
--- a/pistachioglade/agent/_step_run.py
+++ b/pistachioglade/agent/_step_run.py
@@ -89,6 +89,7 @@
         self._closed = False
         self._refusals: Counter[str] = Counter()
         self._wasted_tokens: Counter[str] = Counter()
+        self._note_record()
         self._task = node.spawn(self._run())
 
     @property
@@ -99,7 +100,10 @@
     def adopt_receipts(self, message: OpenStep) -> None:
         """Take the receipts of a trainer that opens the step again."""
         self._newest_version = max(self._newest_version, message.newest_version)
-        self._receive(message.receipts)
+        for index in self.plan.restore(message.receipts):
+            self._cancel_everywhere(index)
+        self._note_record()
+        self._note_change()
 
     def close(self) -> None:
         """Start nothing more and wake those who wait."""
@@ -116,7 +120,7 @@
         return config.trainer(self._message.trainer) if config else None
 
     async def _run(self) -> None:
-        while not self._closed and not self.plan.is_complete:
+        while not self._closed:
             self._wake.clear()
             self._drop_dead_agents()
             self._drop_stale()
@@ -126,7 +130,6 @@
                     await self._wake.wait()
             except TimeoutError:
                 continue
-        self._note_record()
 
     def _drop_dead_agents(self) -> None:
         """Start elsewhere what a suspected or dead agent was making."""
@@ -240,11 +243,14 @@
         call = self._node.pool.call(member.address, message, _CANCEL_TIMEOUT_S)
         self._node.spawn(call)
 
+    def _cancel_everywhere(self, index: int) -> None:
+        for agent in tuple(self.plan.outstanding()):
+            if index in self.plan.running_at(agent):
+                self._cancel(agent, index)
+
     def _receive(self, receipts: tuple[Receipt, ...]) -> None:
         for index in self.plan.receive(receipts):
-            for agent in tuple(self.plan.outstanding()):
-                if index in self.plan.running_at(agent):
-                    self._cancel(agent, index)
+            self._cancel_everywhere(index)
         if receipts:
             self._note_record()
             self._note_change()
@@ -276,9 +282,13 @@
             samples = self.plan.ready(message.max_samples)
             is_over = self._closed or time.monotonic() >= deadline_s
             if samples or self.plan.is_complete or is_over:
-                return SampleBatch(self.step, samples, self.plan.missing_count)
+                return self._batch(samples)
             await self._next_change(deadline_s)
 
+    def _batch(self, samples: tuple[Sample, ...]) -> SampleBatch:
+        is_recorded = self._ledger.is_recorded(self._message.trainer, self.step)
+        return SampleBatch(self.step, samples, self.plan.missing_count, is_recorded)
+
     async def _next_change(self, deadline_s: float) -> None:
         wait_s = max(0.0, deadline_s - time.monotonic())
         try:
--- a/pistachioglade/config/_settings.py
+++ b/pistachioglade/config/_settings.py
@@ -24,7 +24,7 @@
     node: str
     # Failure domain, in the deployment's words.
     domain: str
-    # Host and port of the link server of this node.
+    # Host and port at which peers reach the link server of this node.
     link_address: str
     # Base URL of the object API.
     object_api_url: str
@@ -32,6 +32,8 @@
     instance_list_url: str
     # File with the secret that the system's own processes share.
     cluster_secret_file: str
+    # Host and port that the link server listens at; empty for link_address.
+    listen_address: str = ""
     # Host and port of statsd; empty for none.
     statsd_address: str = ""
     # File that spans are appended to; empty for none.
@@ -43,6 +45,8 @@
     isolation_bound_s: float = 30.0
     # Time between two comparisons with a peer.
     digest_interval_s: float = 2.0
+    # Mean time between two looks for listed members that are not known here.
+    join_interval_s: float = 5.0
     # Time without a word from a peer after which it is suspected.
     suspect_after_s: float = 2.0
     # Time that a suspected member has to answer before it counts as dead.
--- a/pistachioglade/controllers/_membership.py
+++ b/pistachioglade/controllers/_membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from collections.abc import Iterable
 from types import MappingProxyType
@@ -33,6 +34,8 @@
 _HEARTBEAT_TIMEOUT_S: Final = 1.0
 _FLUSH_INTERVAL_S: Final = 0.05
 _JOIN_PAUSE_S: Final = 0.5
+#: Listed addresses that are tried in one round.
+_JOIN_TRIES: Final = 4
 #: Records in one message of news.
 _NEWS_BATCH: Final = 200
 
@@ -55,6 +58,7 @@
         self._root = root
         self._instances = instances
         self._table = Membership(own)
+        self._rng = random.Random(f"{own.node}/{own.incarnation}")
         self._news: dict[str, MemberRecord] = {}
         self._heard_s: dict[str, float] = {}
         self._last_peer_s = time.monotonic()
@@ -116,18 +120,27 @@
         )
 
     async def _keep_joined(self) -> None:
-        """Ask addresses of the instance list while no peer is known."""
+        """Find members that nobody here knows of, or that were given up.
+
+        Nodes that start together may form islands, and regions that lost each
+        other count each other as dead. So listed addresses without a live member
+        are tried from time to time, even when there are peers.
+        """
         while True:
-            if not self._live_peers():
-                await self._join()
-            await asyncio.sleep(_JOIN_PAUSE_S)
+            await self._join()
+            has_peers = bool(self._live_peers())
+            pause_s = self._settings.join_interval_s if has_peers else _JOIN_PAUSE_S
+            await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.5))
 
     async def _join(self) -> None:
         listed = await asyncio.to_thread(self._instances.read)
         if isinstance(listed, Refusal):
             return
+        known = {record.address for record in self._live_peers()}
         addresses = {item.link_address for item in listed if item.link_address}
-        for address in sorted(addresses - {self.own.address}):
+        strangers = sorted(addresses - known - {self.own.address})
+        self._rng.shuffle(strangers)
+        for address in strangers[:_JOIN_TRIES]:
             if await self._compare_with(address):
                 return
 
--- a/pistachioglade/controllers/_node.py
+++ b/pistachioglade/controllers/_node.py
@@ -131,7 +131,8 @@
 
     async def start(self, server: LinkServer) -> None:
         """Listen, join and get a root."""
-        await server.start(self.settings.link_address)
+        settings = self.settings
+        await server.start(settings.listen_address or settings.link_address)
         self.spawn(self.membership.run())
         self.spawn(self._keep_root_known())
 
--- /dev/null
+++ b/pistachioglade/controllers/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the controllers, with fakes at the interfaces."""
--- a/pistachioglade/decisions/_step.py
+++ b/pistachioglade/decisions/_step.py
@@ -287,6 +287,19 @@
             receipt.index for receipt in fresh if receipt.index in self._running
         )
 
+    def restore(self, receipts: Iterable[Receipt]) -> tuple[int, ...]:
+        """Take the receipts of a trainer that opens the step again as the truth.
+
+        A trainer that went back to its checkpoint lacks samples that it once had
+        receipted; those are made again.
+        """
+        known = tuple(receipts)
+        kept = {receipt.index for receipt in known}
+        for index in [index for index in self._receipts if index not in kept]:
+            del self._receipts[index]
+            self._requeue(index)
+        return self.receive(known)
+
     def ready(self, most: int) -> tuple[Sample, ...]:
         """Return samples that the trainer has not receipted."""
         return tuple(self._ready[index] for index in sorted(self._ready)[:most])
--- a/pistachioglade/load/_cluster.py
+++ b/pistachioglade/load/_cluster.py
@@ -9,7 +9,6 @@
 import itertools
 import json
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -25,6 +24,7 @@
 from ..errors import Refusal
 from ..platform import HttpReply, HttpSession
 from ._deployment import Deployment, UpstreamPlan
+from ._relays import Relays, free_address
 
 CLUSTER_SECRET: Final = "demo-cluster-secret"
 OPERATOR_TOKEN: Final = "demo-first-operator"
@@ -38,14 +38,6 @@
     return f"demo-{name}"
 
 
-def free_address() -> str:
-    """Return a free loopback address; each process has its own addresses."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = probe.getsockname()[1]
-    return f"127.0.0.1:{port}"
-
-
 @attrs.frozen
 class ProcessPlan:
     """How to start one process."""
@@ -73,6 +65,7 @@
         self.urls: dict[str, str] = {}
         self.upstream_of: dict[str, str] = {}
         self._sessions: dict[str, HttpSession] = {}
+        self.relays = Relays()
         (folder / "logs").mkdir(parents=True, exist_ok=True)
 
     def start(self, plan: ProcessPlan) -> None:
@@ -102,9 +95,21 @@
         self.signal(name, signal.SIGKILL)
         self._processes[name].wait()
 
+    def freeze(self, name: str) -> None:
+        """Let a process stand still."""
+        self.signal(name, signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a process go on."""
+        self.signal(name, signal.SIGCONT)
+
+    def ask_to_stop(self, name: str) -> None:
+        """Ask a process to stop in order."""
+        self.signal(name, signal.SIGTERM)
+
     def stop(self, name: str) -> int:
         """Ask a process to stop and wait for it; return its exit code."""
-        self.signal(name, signal.SIGTERM)
+        self.ask_to_stop(name)
         return self._processes[name].wait(_STOP_S)
 
     def is_running(self, name: str) -> bool:
@@ -125,6 +130,21 @@
             name for name, owner in self.upstream_of.items() if owner == upstream
         )
 
+    def record_path(self, instance: str) -> Path:
+        """Return the file of an instance's record."""
+        return self.folder / f"{instance}.record.jsonl"
+
+    def runs(self, upstream: str) -> dict[str, list[Any]]:
+        """Return what each instance of an upstream recorded, kills included."""
+        instances = [name.removeprefix("agent-") for name in self.agents_of(upstream)]
+        paths = {name: self.record_path(name) for name in instances}
+        return {
+            name: [json.loads(line) for line in path.read_text().splitlines()]
+            if path.exists()
+            else []
+            for name, path in paths.items()
+        }
+
     def entry_urls(self) -> tuple[str, ...]:
         """Return the base URLs of the entries."""
         return tuple(self.urls[name] for name in self.names("entry-"))
@@ -208,6 +228,7 @@
         for name in others:
             self.signal(name, signal.SIGTERM)
         self._reap(others, 5.0)
+        self.relays.close()
 
     def _nodes(self) -> set[str]:
         return {*self.names("entry-"), *self.upstream_of}
@@ -262,12 +283,14 @@
         return f"http://{address}"
 
     def _common(self, node: str, domain: str) -> dict[str, Any]:
-        address = free_address()
+        listen_address = free_address()
+        address = self._cluster.relays.add(node, listen_address)
         self._listed.append({"name": node, "link_address": address, "leaving": False})
         return {
             "node": node,
             "domain": domain,
             "link_address": address,
+            "listen_address": listen_address,
             "object_api_url": self._cluster.urls["object-api"],
             "instance_list_url": self._cluster.urls["instance-list"],
             "cluster_secret_file": str(self._folder / "cluster.secret"),
@@ -283,6 +306,7 @@
         deployment = self._cluster.deployment
         instance = f"{plan.name}-{number}"
         options = ["--name", instance, "--slots", str(plan.slots)]
+        options += ["--record-file", str(self._cluster.record_path(instance))]
         is_engine = plan.kind is UpstreamKind.ENGINE
         if is_engine:
             options += ["--tick-s", str(deployment.tick_s)]
--- a/pistachioglade/load/_deployment.py
+++ b/pistachioglade/load/_deployment.py
@@ -40,6 +40,11 @@
     # Time that training on a step takes.
     train_s: float
 
+    @property
+    def step_samples(self) -> int:
+        """How many samples a step has."""
+        return self.groups * self.samples_per_group
+
 
 @attrs.frozen
 class CallerPlan:
--- a/pistachioglade/load/_program.py
+++ b/pistachioglade/load/_program.py
@@ -8,6 +8,7 @@
 
 from ..config import SettingsError
 from ._demo import run_demo
+from ._fault_run import run_faults
 
 
 @click.group()
@@ -15,6 +16,27 @@
     """Run the demo, loads and experiments."""
 
 
+@main.command("faults")
+@click.option("--deployment", default="vereniging", help="Folder in deployments/.")
+@click.option("--seeds", default="1", help="Seeds, separated by commas.")
+@click.option("--duration-s", default=60.0, help="Time in which faults begin.")
+@click.option("--folder", default=None, help="Keep settings, logs and traces here.")
+def _faults(deployment: str, seeds: str, duration_s: float, folder: str | None) -> None:
+    """Run under seeded faults and check every promise against the records."""
+    broken = 0
+    for seed in map(int, seeds.split(",")):
+        result = run_faults(deployment, seed, duration_s, folder)
+        counts = ", ".join(f"{kind} {times}" for kind, times in result.faults.items())
+        click.echo(
+            f"seed {seed}: {result.samples} samples, {result.calls} calls; "
+            f"{counts}; {len(result.violations)} violations"
+        )
+        for violation in result.violations[:40]:
+            click.echo(f"  {violation}")
+        broken += bool(result.violations)
+    sys.exit(1 if broken else 0)
+
+
 @main.command("demo")
 @click.option("--deployment", default="vereniging", help="Folder in deployments/.")
 @click.option("--steps", default=4, help="Steps of each trainer.")
--- /dev/null
+++ b/pistachioglade/load/_relays.py
@@ -0,0 +1,134 @@
+"""TCP relays in front of the nodes' link servers, to cut and to stall links.
+
+A cut relay closes what it carries and refuses more. A stalled one keeps its
+connections open and carries nothing: half-open, as after a lost route.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import threading
+from collections.abc import Coroutine
+from enum import Enum
+from typing import Any, Final, TypeVar
+
+import attrs
+
+_CHUNK_BYTES: Final = 65536
+_CALL_TIMEOUT_S: Final = 10.0
+
+T = TypeVar("T")
+
+
+class RelayState(Enum):
+    """What a relay does with what it gets."""
+
+    OPEN = "open"
+    CUT = "cut"
+    STALLED = "stalled"
+
+
+def free_address() -> str:
+    """Return a free loopback address."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    return f"127.0.0.1:{port}"
+
+
+@attrs.define(eq=False)
+class _Relay:
+    # Host and port that it forwards to.
+    target: str
+    # What it does now.
+    state: RelayState = RelayState.OPEN
+    # Set while it is open.
+    is_open: asyncio.Event = attrs.field(factory=asyncio.Event)
+    # The two ends of each connection.
+    writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
+
+
+class Relays:
+    """Relays by node, on an event loop in a thread of its own."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
+        self._relays: dict[str, _Relay] = {}
+
+    def _call(self, work: Coroutine[Any, Any, T]) -> T:
+        future = asyncio.run_coroutine_threadsafe(work, self._loop)
+        return future.result(_CALL_TIMEOUT_S)
+
+    def add(self, node: str, target: str) -> str:
+        """Start a relay to ``target``; return the address to reach it at."""
+        return self._call(self._add(node, target))
+
+    async def _add(self, node: str, target: str) -> str:
+        relay = _Relay(target)
+        relay.is_open.set()
+        self._relays[node] = relay
+        server = await asyncio.start_server(
+            lambda reader, writer: self._carry(relay, reader, writer), "127.0.0.1", 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        return f"127.0.0.1:{port}"
+
+    async def _carry(
+        self,
+        relay: _Relay,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if relay.state is RelayState.CUT:
+            writer.close()
+            return
+        host, _, port = relay.target.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            return
+        relay.writers |= {writer, far_writer}
+        await asyncio.gather(
+            self._pump(relay, reader, far_writer),
+            self._pump(relay, far_reader, writer),
+        )
+        relay.writers -= {writer, far_writer}
+
+    async def _pump(
+        self,
+        relay: _Relay,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            while data := await reader.read(_CHUNK_BYTES):
+                await relay.is_open.wait()
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+    def set_state(self, node: str, state: RelayState) -> None:
+        """Open, cut or stall the links to a node."""
+        self._call(self._set_state(self._relays[node], state))
+
+    async def _set_state(self, relay: _Relay, state: RelayState) -> None:
+        relay.state = state
+        if state is RelayState.STALLED:
+            relay.is_open.clear()
+            return
+        relay.is_open.set()
+        if state is RelayState.CUT:
+            for writer in tuple(relay.writers):
+                writer.transport.abort()
+
+    def close(self) -> None:
+        """End every relay."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(_CALL_TIMEOUT_S)
--- a/pistachioglade/load/_trainers.py
+++ b/pistachioglade/load/_trainers.py
@@ -13,11 +13,20 @@
 from ..errors import Refusal
 from ..messages import Group, Sample
 from ..platform import HttpReply, HttpSession
-from ..trainer import OpenedStep, ServiceError, TrainerClient, TrainerSettings
+from ..trainer import (
+    OpenedStep,
+    ServiceError,
+    TrainerCheckpoint,
+    TrainerClient,
+    TrainerSettings,
+)
 from ._cluster import token_of
 from ._deployment import TrainerPlan
 
 _STORE_TIMEOUT_S = 30.0
+#: Samples between two checkpoints.
+_SAVE_EVERY = 20
+_SETTLE_BOUND_S = 30.0
 
 
 @attrs.define
@@ -61,17 +70,24 @@
         self._store = HttpSession(store_url)
         self._weights_bytes = weights_bytes
         self._rng = random.Random(f"{plan.name}/{seed}")
-        settings = TrainerSettings(
+        self._settings = TrainerSettings(
             urls=urls,
             token=token_of(plan.name),
             model=declared.model,
             staleness_bound_versions=declared.staleness_bound_versions,
             wait_s=2.0,
         )
-        self.client = TrainerClient(settings)
+        self.client = TrainerClient(self._settings)
+        self._saved: tuple[str, TrainerLog] = ("", TrainerLog())
+        self.killed = threading.Event()
         self.log = TrainerLog()
         self.stopped = threading.Event()
 
+    @property
+    def name(self) -> str:
+        """Name of the trainer."""
+        return self._plan.name
+
     def groups(self, step: int) -> tuple[Group, ...]:
         """Return the prompts of a step."""
         return tuple(
@@ -99,6 +115,23 @@
         self.log.duplicates = self.client.duplicates
         self.log.too_stale = self.client.too_stale
 
+    def _save(self) -> None:
+        """Save the client's checkpoint together with the trainer's own state."""
+        own = attrs.evolve(
+            self.log, taken=list(self.log.taken), staleness=list(self.log.staleness)
+        )
+        self._saved = (self.client.checkpoint().to_json(), own)
+
+    def _restore(self) -> None:
+        """Go back to what was saved, as after a kill of the trainer."""
+        text, own = self._saved
+        self.log = attrs.evolve(
+            own, taken=list(own.taken), staleness=list(own.staleness)
+        )
+        checkpoint = TrainerCheckpoint.from_json(text)
+        self.client = TrainerClient(self._settings, checkpoint)
+        self.killed.clear()
+
     def _open(self, step: int) -> OpenedStep:
         return self.client.open_step(step, self.groups(step), self._plan.max_tokens)
 
@@ -109,7 +142,7 @@
         opened_s = time.monotonic()
         for step in range(1, steps + 1):
             current, current_opened_s = following, opened_s
-            self._collect(step, current, current_opened_s)
+            current = self._collect(step, current, current_opened_s)
             if step < steps:
                 following = self._open(step + 1)
                 opened_s = time.monotonic()
@@ -117,19 +150,29 @@
             if self.stopped.wait(self._plan.train_s):
                 break
             self.publish(step + 1)
+        self.client.settle(_SETTLE_BOUND_S)
         self.log.run_s = time.monotonic() - started_s
 
-    def _collect(self, step: int, opened: OpenedStep, opened_s: float) -> None:
+    def _collect(self, step: int, opened: OpenedStep, opened_s: float) -> OpenedStep:
+        """Take a whole step; return it as it is open at the end."""
+        self._save()
         waited_from_s = time.monotonic()
         arrivals: list[float] = []
-        for sample in opened:
+        while (sample := opened.take()) is not None:
+            if self.killed.is_set():
+                self._restore()
+                opened = self._open(step)
+                continue
             newest = self.client.newest_version
             arrivals.append(time.monotonic())
             self.log.taken.append((step, sample, newest))
             self.log.staleness.append(newest - sample.oldest_version)
+            if len(arrivals) % _SAVE_EVERY == 0:
+                self._save()
         self.log.idle_s += time.monotonic() - waited_from_s
         self.log.step_s.append(arrivals[-1] - opened_s)
         self.log.tail_s.append(arrivals[-1] - arrivals[int(len(arrivals) * 0.9)])
+        return opened
 
     def summary(self) -> dict[str, Any]:
         """Return the figures of the run."""
--- a/pistachioglade/messages/_samples.py
+++ b/pistachioglade/messages/_samples.py
@@ -145,6 +145,8 @@
     samples: tuple[Sample, ...]
     # How many samples of the step are not receipted yet.
     missing_count: int
+    # Whether every receipt that the owner has is in the object API.
+    is_recorded: bool = False
 
 
 @attrs.frozen
--- a/pistachioglade/standins/_engine.py
+++ b/pistachioglade/standins/_engine.py
@@ -16,7 +16,7 @@
 
 import attrs
 
-from ._wsgi import StandinRequest, StandinResponse
+from ._wsgi import RecordFile, StandinRequest, StandinResponse
 
 _CACHED_PROMPTS: Final = 64
 _RECORD_LIMIT: Final = 200_000
@@ -57,6 +57,8 @@
     checks_fence: bool = True
     # Age of the state that is reported.
     report_lag_s: float = 0.3
+    # File that records are appended to; empty for none.
+    record_file: str = ""
 
 
 @attrs.define(eq=False)
@@ -81,6 +83,8 @@
     made: int = 0
     # Whether nobody waits any more.
     cancelled: bool = False
+    # When it was admitted to the batch.
+    begun_unix_s: float = 0.0
     # Versions that made its tokens, for the record.
     spans: list[list[int]] = attrs.field(factory=list)
 
@@ -101,6 +105,7 @@
         self._fence = 0
         self._paused_until_s = 0.0
         self._leaving = False
+        self._file = RecordFile(options.record_file)
         self._record: list[dict[str, Any]] = []
         self._reports: list[tuple[float, dict[str, Any]]] = []
         self.cache_hits = 0
@@ -196,6 +201,7 @@
             self._cached[key] = None
             if len(self._cached) > _CACHED_PROMPTS:
                 self._cached.popitem(last=False)
+        sequence.begun_unix_s = time.time()
         self._active.append(sequence)
 
     def _advance(self, sequence: _Sequence) -> None:
@@ -215,24 +221,27 @@
         }
         if is_over:
             event["usage"] = {"completion_tokens": sequence.made}
-        sequence.events.put(event)
         if is_over or cut:
-            self._finish(sequence)
+            self._finish(sequence, event)
+        else:
+            sequence.events.put(event)
 
-    def _finish(self, sequence: _Sequence) -> None:
+    def _finish(self, sequence: _Sequence, event: dict[str, Any] | None = None) -> None:
+        """Record a sequence, then give its last event out."""
         self._active.remove(sequence)
-        sequence.events.put(None)
+        record = {
+            "request_id": sequence.request_id,
+            "tokens": sequence.made,
+            "spans": sequence.spans,
+            "whole": sequence.made >= sequence.length and not sequence.truncated,
+            "unix_s": sequence.begun_unix_s,
+        }
+        self._file.append(record)
         if len(self._record) < _RECORD_LIMIT:
-            self._record.append(
-                {
-                    "request_id": sequence.request_id,
-                    "tokens": sequence.made,
-                    "spans": sequence.spans,
-                    "whole": sequence.made >= sequence.length
-                    and not sequence.truncated,
-                    "unix_s": time.time(),
-                }
-            )
+            self._record.append(record)
+        if event is not None:
+            sequence.events.put(event)
+        sequence.events.put(None)
 
     def _report(self, now_s: float) -> None:
         fields = {
--- a/pistachioglade/standins/_program.py
+++ b/pistachioglade/standins/_program.py
@@ -52,9 +52,12 @@
 @click.option("--name", required=True, help="Instance name.")
 @click.option("--work-s", default=0.005, help="Time of one call.")
 @click.option("--slots", default=8, help="Calls at once.")
-def _service(address: str, name: str, work_s: float, slots: int) -> None:
+@click.option("--record-file", default="", help="File for the record of runs.")
+def _service(
+    address: str, name: str, work_s: float, slots: int, record_file: str
+) -> None:
     """Serve the operations of a plain service."""
-    serve(address, ServiceStandin(name, work_s, slots).handle)
+    serve(address, ServiceStandin(name, work_s, slots, record_file).handle)
 
 
 @main.command("engine")
@@ -64,6 +67,7 @@
 @click.option("--tick-s", default=0.02, help="Time of one tick.")
 @click.option("--swap-s", default=0.2, help="Pause of a swap.")
 @click.option("--ignore-fence", is_flag=True, help="Take orders with old numbers.")
+@click.option("--record-file", default="", help="File for the record of runs.")
 def _engine(
     address: str,
     name: str,
@@ -71,6 +75,7 @@
     tick_s: float,
     swap_s: float,
     ignore_fence: bool,
+    record_file: str,
 ) -> None:
     """Serve a model engine."""
     options = EngineOptions(
@@ -79,5 +84,6 @@
         tick_s=tick_s,
         swap_s=swap_s,
         checks_fence=not ignore_fence,
+        record_file=record_file,
     )
     serve(address, EngineStandin(options).handle)
--- a/pistachioglade/standins/_service.py
+++ b/pistachioglade/standins/_service.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from ._wsgi import StandinRequest, StandinResponse
+from ._wsgi import RecordFile, StandinRequest, StandinResponse
 
 
 @attrs.define
@@ -30,12 +30,15 @@
 class ServiceStandin:
     """Runs operations and keeps a record of each run."""
 
-    def __init__(self, name: str, work_s: float, slots: int) -> None:
+    def __init__(
+        self, name: str, work_s: float, slots: int, record_file: str = ""
+    ) -> None:
         self._name = name
         self._work_s = work_s
         self._slots = threading.Semaphore(slots)
         self._lock = threading.Lock()
         self.faults = ServiceFaults()
+        self._file = RecordFile(record_file)
         self._runs: list[dict[str, Any]] = []
         self._running = 0
         self._leaving = False
@@ -82,6 +85,7 @@
             "payload": payload,
             "unix_s": time.time(),
         }
+        self._file.append(run)
         with self._lock:
             self._runs.append(run)
             self._running += 1
--- a/pistachioglade/standins/_wsgi.py
+++ b/pistachioglade/standins/_wsgi.py
@@ -81,6 +81,20 @@
     return [data], headers
 
 
+class RecordFile:
+    """Appends records to a file, so that they outlive a kill."""
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._lock = threading.Lock()
+
+    def append(self, record: dict[str, Any]) -> None:
+        """Write one record before going on."""
+        if self._path:
+            with self._lock, open(self._path, "a", encoding="utf-8") as file:
+                file.write(json.dumps(record) + "\n")
+
+
 def serve(address: str, handler: StandinHandler) -> None:
     """Serve until SIGTERM or SIGINT."""
     host, _, port = address.rpartition(":")
--- a/pistachioglade/trainer/_client.py
+++ b/pistachioglade/trainer/_client.py
@@ -26,6 +26,8 @@
 
 _PATIENCE_S: Final = 120.0
 _TIMEOUT_S: Final = 20.0
+_SETTLE_PAUSE_S: Final = 0.5
+_SETTLE_INTERVAL_S: Final = 3.0
 
 
 class ServiceError(Exception):
@@ -67,6 +69,8 @@
         self._newest_version = saved.newest_version
         self._saved = {item.step: item for item in saved.steps}
         self._open: dict[int, OpenedStep] = {}
+        self._unrecorded: dict[int, OpenedStep] = {}
+        self._settled_s = time.monotonic()
         self.duplicates = 0
         self.too_stale = 0
 
@@ -105,6 +109,27 @@
             steps = tuple(item.checkpoint() for item in self._open.values())
             return TrainerCheckpoint(self._newest_version, steps)
 
+    def settle(self, bound_s: float = 0.0) -> bool:
+        """Make sure that the receipts of closed steps are in the record.
+
+        A step's owner may die between the last receipt and its record; so the
+        receipts are kept here until the owner says that they are written.
+        """
+        deadline_s = time.monotonic() + bound_s
+        while True:
+            for step, opened in tuple(self._unrecorded.items()):
+                if opened.is_recorded():
+                    del self._unrecorded[step]
+            if not self._unrecorded or time.monotonic() >= deadline_s:
+                return not self._unrecorded
+            time.sleep(_SETTLE_PAUSE_S)
+
+    def settle_now_and_then(self) -> None:
+        """Call :meth:`settle` if that was not done for a while."""
+        if time.monotonic() - self._settled_s > _SETTLE_INTERVAL_S:
+            self._settled_s = time.monotonic()
+            self.settle()
+
 
 class OpenedStep:
     """The samples of one step, each exactly once, none beyond the bound."""
@@ -142,10 +167,19 @@
 
     def close(self) -> None:
         """Tell the owner of the last receipts and forget the step."""
-        if self._receipts.is_complete:
-            self._send_receipts()
         with self._client._lock:
             self._client._open.pop(self._step, None)
+        if self._receipts.is_complete and not self.is_recorded():
+            self._client._unrecorded[self._step] = self
+
+    def is_recorded(self) -> bool:
+        """Send the last receipts; return whether the owner has written all."""
+        result = self._send_receipts()
+        if isinstance(result, Refusal):
+            if result.kind is ErrorKind.UNKNOWN_STEP:
+                self.reopen()
+            return False
+        return result.is_recorded
 
     @property
     def is_complete(self) -> bool:
@@ -217,6 +251,7 @@
             self.reopen()
             return
         self._arrived.extend(result.samples)
+        self._client.settle_now_and_then()
 
     def _send_receipts(
         self, max_samples: int = 0, wait_s: float = 0.0
