--- a/pistachioglade/load/_fault_plan.py
+++ b/pistachioglade/load/_fault_plan.py
@@ -13,8 +13,6 @@
 from ._cluster import Cluster
 from ._relays import RelayState
 
-#: Mean time between two faults.
-_MEAN_GAP_S: Final = 2.0
 _FREEZE_S: Final = (1.0, 11.0)
 _OUTAGE_S: Final = (2.0, 10.0)
 _DOWN_S: Final = (0.5, 4.0)
@@ -279,14 +277,17 @@
 
 
 def make_schedule(
-    cluster: Cluster, seed: int, duration_s: float
+    cluster: Cluster, seed: int, duration_s: float, gap_s: float
 ) -> tuple[TimedFault, ...]:
-    """Return the faults of a seed; the same seed gives the same faults."""
+    """Return the faults of a seed, ``gap_s`` apart in the mean.
+
+    The same seed gives the same faults.
+    """
     rng = random.Random(seed)
     maker = _Maker(cluster, rng)
     schedule = []
-    at_s = rng.expovariate(1 / _MEAN_GAP_S)
+    at_s = rng.expovariate(1 / gap_s)
     while at_s < duration_s:
         schedule.append(TimedFault(at_s, maker.draw()))
-        at_s += rng.expovariate(1 / _MEAN_GAP_S)
+        at_s += rng.expovariate(1 / gap_s)
     return tuple(schedule)
--- a/pistachioglade/load/_fault_run.py
+++ b/pistachioglade/load/_fault_run.py
@@ -75,7 +75,7 @@
         self._busy: set[str] = set()
         self._faults: dict[str, int] = {}
 
-    def run(self, duration_s: float) -> FaultResult:
+    def run(self, duration_s: float, gap_s: float) -> FaultResult:
         workers = [
             threading.Thread(target=trainer.run, args=(_MANY_STEPS,), daemon=True)
             for trainer in self._trainers
@@ -88,7 +88,7 @@
         watcher = threading.Thread(target=self._watch, args=(over,), daemon=True)
         for thread in (*workers, *callers, watcher):
             thread.start()
-        self._play(duration_s)
+        self._play(duration_s, gap_s)
         for caller in self._callers:
             caller.stopped.set()
         for trainer in self._trainers:
@@ -100,12 +100,12 @@
         stuck = [thread.name for thread in (*workers, *callers) if thread.is_alive()]
         return self._result(stuck)
 
-    def _play(self, duration_s: float) -> None:
+    def _play(self, duration_s: float, gap_s: float) -> None:
         """Begin and end faults in time, then end what is left."""
         started_s = time.monotonic()
         pending: list[tuple[float, int, Fault]] = []
         order = itertools.count()
-        schedule = list(make_schedule(self._cluster, self._seed, duration_s))
+        schedule = list(make_schedule(self._cluster, self._seed, duration_s, gap_s))
         while schedule or pending:
             now_s = time.monotonic() - started_s
             while pending and pending[0][0] <= now_s:
@@ -255,7 +255,7 @@
 
 
 def run_faults(
-    name: str, seed: int, duration_s: float, folder: str | None
+    name: str, seed: int, duration_s: float, gap_s: float, folder: str | None
 ) -> FaultResult:
     """Run one seed against a deployment of the brief."""
     deployment, text = load_deployment(name)
@@ -266,4 +266,4 @@
         run_folder = Path(folder or temporary) / f"seed-{seed}"
         with start_cluster(run_folder, deployment) as cluster:
             cluster.apply(text)
-            return _Run(cluster, config, text, seed).run(duration_s)
+            return _Run(cluster, config, text, seed).run(duration_s, gap_s)
