--- a/pistachioglade/load/_program.py
+++ b/pistachioglade/load/_program.py
@@ -21,11 +21,17 @@
 @click.option("--seeds", default="1", help="Seeds, separated by commas.")
 @click.option("--duration-s", default=60.0, help="Time in which faults begin.")
 @click.option("--folder", default=None, help="Keep settings, logs and traces here.")
-def _faults(deployment: str, seeds: str, duration_s: float, folder: str | None) -> None:
+def _faults(
+    deployment: str,
+    seeds: str,
+    duration_s: float,
+    gap_s: float,
+    folder: str | None,
+) -> None:
     """Run under seeded faults and check every promise against the records."""
     broken = 0
     for seed in map(int, seeds.split(",")):
-        result = run_faults(deployment, seed, duration_s, folder)
+        result = run_faults(deployment, seed, duration_s, gap_s, folder)
         counts = ", ".join(f"{kind} {times}" for kind, times in result.faults.items())
         click.echo(
             f"seed {seed}: {result.samples} samples, {result.calls} calls; "
