--- a/pistachioglade/entry/_publish.py
+++ b/pistachioglade/entry/_publish.py
@@ -74,7 +74,11 @@
     async def _commit(
         self, base: RootState, parts: dict[str, str], texts: list[str]
     ) -> Applied | Refusal:
-        by_digest = {digest_of(text): text for text in texts}
+        by_digest = {
+            digest: text
+            for digest, text in zip(map(digest_of, texts), texts, strict=True)
+            if digest not in base.parts.values()
+        }
         refusal = await asyncio.to_thread(self._node.store.write_parts, by_digest)
         if refusal is not None:
             return refusal
--- a/pistachioglade/load/_checks.py
+++ b/pistachioglade/load/_checks.py
@@ -10,7 +10,7 @@
 import attrs
 
 from ..messages import Sample
-from ..report import StepRecord
+from ..report import StepRecord, merge_receipts
 from ._lookups import CallRecord
 from ._trainers import TrainerLog
 
@@ -135,17 +135,15 @@
     outcomes: Iterable[TrainerOutcome], records: Sequence[StepRecord]
 ) -> Iterator[str]:
     """Find samples that the report's records and their trainer disagree about."""
-    recorded: dict[tuple[str, int, int], str] = {
-        (record.trainer, record.step, receipt.index): receipt.copy_id
-        for record in records
-        for receipt in record.receipts
-    }
     for outcome in outcomes:
+        own = [record for record in records if record.trainer == outcome.trainer]
+        recorded = merge_receipts(own)
         for step, sample, _newest in outcome.log.taken:
-            found = recorded.get((outcome.trainer, step, sample.index))
-            if found != sample.copy_id:
+            found = recorded.get((step, sample.index))
+            copy_id = found.copy_id if found else None
+            if copy_id != sample.copy_id:
                 name = f"{outcome.trainer}/{step}/{sample.index}"
-                yield f"report: {name} is {sample.copy_id}, recorded {found}"
+                yield f"report: {name} is {sample.copy_id}, recorded {copy_id}"
 
 
 @attrs.frozen
--- a/pistachioglade/load/_program.py
+++ b/pistachioglade/load/_program.py
@@ -20,6 +20,7 @@
 @click.option("--deployment", default="vereniging", help="Folder in deployments/.")
 @click.option("--seeds", default="1", help="Seeds, separated by commas.")
 @click.option("--duration-s", default=60.0, help="Time in which faults begin.")
+@click.option("--gap-s", default=2.0, help="Mean time between two faults.")
 @click.option("--folder", default=None, help="Keep settings, logs and traces here.")
 def _faults(
     deployment: str,
--- a/pistachioglade/load/_trainers.py
+++ b/pistachioglade/load/_trainers.py
@@ -81,6 +81,7 @@
         self._saved: tuple[str, TrainerLog] = ("", TrainerLog())
         self.killed = threading.Event()
         self.log = TrainerLog()
+        self.digests: dict[int, str] = {}
         self.stopped = threading.Event()
 
     @property
@@ -104,6 +105,7 @@
             raise ServiceError(reply)
         assert isinstance(reply, HttpReply)
         digest = reply.json()["digest"]
+        self.digests[version] = digest
         self.client.publish(version, digest, len(weights))
 
     def run(self, steps: int) -> None:
@@ -128,10 +130,13 @@
         self.log = attrs.evolve(
             own, taken=list(own.taken), staleness=list(own.staleness)
         )
-        checkpoint = TrainerCheckpoint.from_json(text)
-        self.client = TrainerClient(self._settings, checkpoint)
+        self.restore_client(TrainerCheckpoint.from_json(text))
         self.killed.clear()
 
+    def restore_client(self, checkpoint: TrainerCheckpoint) -> None:
+        """Replace the client by one that goes on from a checkpoint."""
+        self.client = TrainerClient(self._settings, checkpoint)
+
     def _open(self, step: int) -> OpenedStep:
         return self.client.open_step(step, self.groups(step), self._plan.max_tokens)
 
--- a/pistachioglade/platform/_root_store.py
+++ b/pistachioglade/platform/_root_store.py
@@ -76,10 +76,21 @@
     def write_parts(self, parts: Mapping[str, str]) -> Refusal | None:
         """Write parts by their digests; one that exists already is the same."""
         for digest, text in parts.items():
+            refusal = self._write_part(digest, text)
+            if refusal is not None:
+                return refusal
+        return None
+
+    def _write_part(self, digest: str, text: str) -> Refusal | None:
+        """Write one part; after a lost answer, writing it again is harmless."""
+        deadline_s = time.monotonic() + _SETTLE_S
+        while True:
             result = self._api.put(f"parts/{digest}", {"text": text}, 0)
-            if isinstance(result, Refusal) and result.kind is not ErrorKind.CONFLICT:
+            if not isinstance(result, Refusal) or result.kind is ErrorKind.CONFLICT:
+                return None
+            is_lost = result.kind is ErrorKind.PLATFORM_UNCERTAIN
+            if not is_lost or time.monotonic() > deadline_s:
                 return refuse(ErrorKind.PLATFORM_UNAVAILABLE, result.reason)
-        return None
 
     def commit(self, change: RootChange) -> RootState | Refusal:
         """Swap the root; the answer is settled, or says that it could not be."""
--- a/pistachioglade/report/__init__.py
+++ b/pistachioglade/report/__init__.py
@@ -7,6 +7,7 @@
     StepReport,
     TrainerReport,
     build_report,
+    merge_receipts,
     summarise,
 )
 from ._files import render_csv, render_html
@@ -22,6 +23,7 @@
     "TrainerReport",
     "UsageRecord",
     "build_report",
+    "merge_receipts",
     "pack_step",
     "render_csv",
     "render_html",
--- a/pistachioglade/report/_build.py
+++ b/pistachioglade/report/_build.py
@@ -159,7 +159,7 @@
     for span in spans:
         by_caller[span.caller].append(span)
     tokens = {
-        name: sum(map(_token_count, _merged(items).values()))
+        name: sum(map(_token_count, merge_receipts(items).values()))
         for name, items in by_trainer.items()
     }
     total = sum(tokens.values())
@@ -180,13 +180,21 @@
     return sum(span.token_count for span in receipt.spans)
 
 
-def _merged(records: Iterable[StepRecord]) -> dict[tuple[int, int], Receipt]:
-    """Return the one receipt of each sample, whichever owners recorded it."""
-    return {
-        (record.step, receipt.index): receipt
-        for record in records
-        for receipt in record.receipts
-    }
+def merge_receipts(records: Iterable[StepRecord]) -> dict[tuple[int, int], Receipt]:
+    """Return the one receipt of each sample, whichever owners recorded it.
+
+    A trainer that went back to its checkpoint may have taken another copy later;
+    the later one counts.
+    """
+    pairs = sorted(
+        (
+            ((record.step, receipt.index), receipt)
+            for record in records
+            for receipt in record.receipts
+        ),
+        key=lambda pair: pair[1].lateness_s,
+    )
+    return dict(pairs)
 
 
 def _versions(receipts: Iterable[Receipt]) -> dict[str, int]:
@@ -205,7 +213,7 @@
     spans: Sequence[UsageRecord],
     total_tokens: int,
 ) -> TrainerReport:
-    receipts = list(_merged(records).values())
+    receipts = list(merge_receipts(records).values())
     steps = _step_reports(records)
     declared = config.trainer(name)
     tokens = sum(map(_token_count, receipts))
@@ -262,7 +270,7 @@
 
 
 def _step_report(step: int, records: Sequence[StepRecord]) -> StepReport:
-    receipts = list(_merged(records).values())
+    receipts = list(merge_receipts(records).values())
     ordered = sorted(records, key=lambda record: len(record.receipts))
     return StepReport(
         step=step,
--- /dev/null
+++ b/tests/scenario/__init__.py
@@ -0,0 +1,6 @@
+"""A small language for failure scenarios, and the session that runs it."""
+
+from ._grammar import Statement, parse_scenario
+from ._session import Session
+
+__all__ = ["Session", "Statement", "parse_scenario"]
--- /dev/null
+++ b/tests/scenario/_session.py
@@ -0,0 +1,483 @@
+"""Runs a scenario's statements against a real cluster and keeps a transcript."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import attrs
+
+from pistachioglade.config import check_document
+from pistachioglade.errors import Refusal
+from pistachioglade.load import (
+    OPERATOR_TOKEN,
+    Cluster,
+    RelayState,
+    SimulatedTrainer,
+    TrainerOutcome,
+    checks,
+    token_of,
+)
+from pistachioglade.messages import Group
+from pistachioglade.platform import HttpReply
+from pistachioglade.trainer import OpenedStep, TrainerCheckpoint, TrainerClient
+
+from ._grammar import Option, Statement, Target
+
+_BOUND_S = 60.0
+_GRACE_S = 5.0
+
+
+@attrs.define
+class _Result:
+    """What a caller was told."""
+
+    # Name of the payload.
+    name: str
+    # HTTP status; 0 for no answer.
+    status: int
+    # Error kind, or "".
+    error: str
+    # Execution header.
+    execution: str
+    # Whether the answer echoes the request.
+    whole: bool
+    # Whether the answer was kept from an earlier try.
+    replayed: bool
+    # Whether the answer names a time to come back.
+    names_return: bool
+
+
+@attrs.define
+class _TrainerState:
+    # The simulated trainer, for its publishing and its log.
+    simulated: SimulatedTrainer
+    # Samples of each step.
+    step_samples: int = 0
+    # Open steps.
+    steps: dict[int, OpenedStep] = attrs.field(factory=dict)
+    # Groups of each step.
+    groups: dict[int, tuple[Group, ...]] = attrs.field(factory=dict)
+    # Checkpoint, with the number of samples taken by then.
+    saved: tuple[str, int] = ("", 0)
+
+
+class Session:
+    """One scenario on one cluster."""
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        configs: dict[str, str],
+        trainers: dict[str, SimulatedTrainer],
+    ) -> None:
+        self.cluster = cluster
+        self._configs = configs
+        config, _faults = check_document(configs["base"])
+        assert config is not None
+        self._config = config
+        self._trainers = {name: _TrainerState(item) for name, item in trainers.items()}
+        self._tickets: dict[str, list[str]] = {}
+        self._results: list[_Result] = []
+        self._left_unix_s: dict[str, float] = {}
+        self._generations: list[int] = []
+        self._pool = ThreadPoolExecutor(16)
+        self._started: dict[str, Any] = {}
+        self._lock = threading.Lock()
+        self._serial = 0
+
+    def run(self, statements: tuple[Statement, ...]) -> str:
+        """Run every statement; return the transcript."""
+        lines = [self.execute(statement) for statement in statements]
+        self._pool.shutdown()
+        return "\n".join(lines) + "\n"
+
+    def execute(self, statement: Statement) -> str:
+        """Run one statement; return its line of the transcript."""
+        action: Callable[..., str] = getattr(self, f"_do_{statement.verb}")
+        outcome = action(*statement.arguments)
+        return f"{self._words(statement)} -> {outcome}"
+
+    def _words(self, statement: Statement) -> str:
+        parts = [statement.verb]
+        for item in statement.arguments:
+            if isinstance(item, Statement):
+                parts.append(f"({self._words(item)})")
+            elif isinstance(item, Target):
+                parts.append(item.name if item.kind == "name" else str(item.kind))
+            elif isinstance(item, Option):
+                parts.append(f"{item.name} {item.value}")
+            elif item is not None:
+                parts.append(str(item))
+        return " ".join(parts)
+
+    # Processes and faults.
+
+    def _resolve(self, target: Target) -> str:
+        if target.kind == "holder":
+            return self._tickets[target.name][0].partition("~")[0]
+        if target.kind == "owner":
+            return self._owner(target.name)
+        return target.name
+
+    def _owner(self, trainer: str) -> str:
+        found: list[str] = []
+
+        def is_known() -> bool:
+            nodes = self.cluster.admin("GET", "status")["nodes"]
+            found[:] = [
+                item["node"]
+                for item in nodes
+                if item["status"] and trainer in item["status"]["owned_trainers"]
+            ]
+            return bool(found)
+
+        self.cluster.wait(f"an owner of {trainer}", is_known)
+        return found[0]
+
+    def _do_kill(self, target: Target) -> str:
+        name = self._resolve(target)
+        self._started["killed"] = name
+        self.cluster.kill(name)
+        return "ended"
+
+    def _do_freeze(self, target: Target) -> str:
+        name = self._resolve(target)
+        self._started["frozen"] = name
+        self.cluster.freeze(name)
+        return "frozen"
+
+    def _do_thaw(self, target: Target) -> str:
+        name = self._started["frozen"] if target.name == "frozen" else target.name
+        self.cluster.thaw(name)
+        return "goes on"
+
+    def _do_stop(self, target: Target) -> str:
+        name = self._resolve(target)
+        self._left_unix_s[name.removeprefix("agent-")] = time.time()
+        return f"exit code {self.cluster.stop(name)}"
+
+    def _do_restart(self, target: Target) -> str:
+        name = self._started.get(target.name, target.name)
+        self.cluster.restart(name)
+        return "started"
+
+    def _do_drain(self, target: Target) -> str:
+        name = self._resolve(target)
+        self._left_unix_s[name.removeprefix("agent-")] = time.time()
+        self.cluster.admin("POST", f"drain/{name}")
+        return "asked"
+
+    def _do_link(self, target: Target, state: str) -> str:
+        self.cluster.relays.set_state(self._resolve(target), RelayState(state))
+        return str(state)
+
+    def _do_fault(self, target: Target, field: str, value: str) -> str:
+        name = self._resolve(target)
+        known: dict[str, Any] = {"true": True, "false": False}
+        number = known.get(value)
+        if number is None:
+            number = float(value) if "." in value else int(value)
+        fields = {field.replace("-", "_"): number}
+        self.cluster.request(name, "POST", "/control/faults", fields)
+        return "set"
+
+    def _do_leave(self, instance: str) -> str:
+        self._left_unix_s[instance] = time.time()
+        self.cluster.request(instance, "POST", "/control/leave")
+        return "leaving"
+
+    def _do_order(self, engine: str, model: str, version: str, fence: str) -> str:
+        """Send an order past the agent, as one that wakes late would."""
+        stored = self._trainers_of(model).simulated.digests[int(version)]
+        fields = {
+            "model": str(model),
+            "version": int(version),
+            "digest": stored,
+            "fence": int(fence),
+        }
+        reply = self.cluster.request(engine, "POST", "/orders", fields)
+        assert isinstance(reply, HttpReply)
+        return f"engine answers {reply.status}"
+
+    def _trainers_of(self, model: str) -> _TrainerState:
+        return next(
+            state
+            for name, state in self._trainers.items()
+            if (found := self._config.trainer(name)) and found.model == model
+        )
+
+    def _do_pause(self, seconds: str) -> str:
+        time.sleep(float(seconds))
+        return "over"
+
+    def _do_begin(self, label: str, statement: Statement) -> str:
+        self._started[label] = self._pool.submit(self.execute, statement)
+        return "started"
+
+    def _do_join(self, label: str) -> str:
+        line: str = self._started[label].result(_BOUND_S * 2)
+        return line.partition(" -> ")[2]
+
+    # Configuration.
+
+    def _apply(self, entry: str, name: str) -> tuple[int, int, str]:
+        reply = self.cluster.request(
+            entry, "PUT", "/admin/v1/config", self._configs[name], OPERATOR_TOKEN
+        )
+        if isinstance(reply, Refusal):
+            return 0, 0, reply.kind.value
+        fields = reply.json()
+        generation = int(fields.get("generation", 0))
+        if generation:
+            self._generations.append(generation)
+        return reply.status, generation, str(fields.get("error", "applied"))
+
+    def _running_entry(self) -> str:
+        names = self.cluster.names("entry-")
+        return next(name for name in names if self.cluster.is_running(name))
+
+    def _do_apply(self, name: str) -> str:
+        status, _generation, outcome = self._apply(self._running_entry(), name)
+        return f"{status} {outcome}"
+
+    def _do_race(self, first: str, second: str) -> str:
+        pairs = zip(self.cluster.names("entry-"), (first, second), strict=True)
+        with ThreadPoolExecutor(2) as pool:
+            replies = list(pool.map(lambda pair: self._apply(*pair), pairs))
+        outcomes = sorted(f"{status} {outcome}" for status, _gen, outcome in replies)
+        return ", ".join(outcomes)
+
+    # Trainers.
+
+    def _client(self, trainer: str) -> TrainerClient:
+        return self._trainers[trainer].simulated.client
+
+    def _do_publish(self, trainer: str, version: str) -> str:
+        self._trainers[trainer].simulated.publish(int(version))
+        return "published"
+
+    def _do_open_step(self, trainer: str, step: str, groups: str, size: str) -> str:
+        state = self._trainers[trainer]
+        state.groups[int(step)] = tuple(
+            Group(f"{trainer} {step} {number}", int(size))
+            for number in range(int(groups))
+        )
+        state.step_samples = int(groups) * int(size)
+        self._open(state, int(step))
+        return "open"
+
+    def _open(self, state: _TrainerState, step: int) -> None:
+        client = state.simulated.client
+        state.steps[step] = client.open_step(step, state.groups[step], max_tokens=128)
+
+    def _do_take(self, trainer: str, step: str, count: int | None) -> str:
+        state = self._trainers[trainer]
+        opened = state.steps[int(step)]
+        taken = 0
+        while count is None or taken < count:
+            sample = opened.take()
+            if sample is None:
+                break
+            taken += 1
+            newest = state.simulated.client.newest_version
+            state.simulated.log.taken.append((int(step), sample, newest))
+        return f"took {taken}, {'whole' if opened.is_complete else 'not whole'}"
+
+    def _do_save(self, trainer: str) -> str:
+        state = self._trainers[trainer]
+        text = state.simulated.client.checkpoint().to_json()
+        state.saved = (text, len(state.simulated.log.taken))
+        return "saved"
+
+    def _do_restore(self, trainer: str) -> str:
+        state = self._trainers[trainer]
+        text, taken = state.saved
+        simulated = state.simulated
+        del simulated.log.taken[taken:]
+        simulated.restore_client(TrainerCheckpoint.from_json(text))
+        for step in state.steps:
+            self._open(state, step)
+        return f"back at {taken} samples"
+
+    # Callers.
+
+    def _do_ticket(self, caller: str, upstream: str) -> str:
+        reply = self.cluster.request(
+            self._running_entry(),
+            "POST",
+            "/v1/tickets",
+            {"upstream": str(upstream), "count": 50},
+            token_of(caller),
+        )
+        assert isinstance(reply, HttpReply), reply
+        self._tickets[str(caller)] = reply.json()["keys"]
+        return f"{reply.status}"
+
+    def _do_call(
+        self,
+        caller: str,
+        upstream: str,
+        operation: str,
+        *options: Option,
+    ) -> str:
+        chosen = {item.name: item.value for item in options}
+        key, entry = chosen.get("key"), chosen.get("via")
+        within = chosen.get("within")
+        result = self._call(caller, upstream, operation, key, entry, within)
+        with self._lock:
+            self._results.append(result)
+        parts = [str(result.status), result.error or "answer", result.execution]
+        parts += ["whole"] if result.whole else []
+        parts += ["replayed"] if result.replayed else []
+        parts += ["says when"] if result.names_return else []
+        return ", ".join(parts)
+
+    def _call(
+        self,
+        caller: str,
+        upstream: str,
+        operation: str,
+        key: str | None,
+        entry: str | None,
+        within: str | None,
+    ) -> _Result:
+        with self._lock:
+            self._serial += 1
+            number = key or f"n{self._serial}"
+        payload = {"id": f"{caller}-{operation}-{number}", "prompt": "p"}
+        budget_s = float(within) if within else 20.0
+        headers = {"Budget-S": str(budget_s)}
+        if key is not None:
+            headers["Idempotency-Key"] = self._tickets[caller][int(key)]
+        reply = self.cluster.request(
+            entry or self._running_entry(),
+            "POST",
+            f"/v1/calls/{upstream}/{operation}",
+            payload,
+            token_of(caller),
+            budget_s + 10,
+            headers,
+        )
+        if isinstance(reply, Refusal):
+            return _Result(payload["id"], 0, "lost", "unknown", False, False, False)
+        fields = reply.json()
+        return _Result(
+            payload["id"],
+            reply.status,
+            str(fields.get("error", "")),
+            reply.headers.get("execution", ""),
+            fields.get("echo") == payload or "spans" in fields,
+            reply.headers.get("replayed") == "true",
+            fields.get("retry_after_s") is not None,
+        )
+
+    # Waiting and checking.
+
+    def _do_until(self, *words: str) -> str:
+        question = " ".join(words)
+        self.cluster.wait(question, lambda: self._holds([str(w) for w in words]))
+        return "so"
+
+    def _holds(self, words: list[str]) -> bool:
+        match words:
+            case ["engines", "hold", model]:
+                return self._engines_hold(model)
+            case ["all", "nodes", "in", "force"]:
+                return self.cluster.generation_everywhere(max(self._generations))
+            case [node, "is", state]:
+                return self._state_of(node) == state
+            case [service, "runs", "something"]:
+                return any(self.cluster.runs(service).values())
+        raise ValueError(f"no such state: {' '.join(words)}")
+
+    def _state_of(self, node: str) -> str:
+        nodes = self.cluster.admin("GET", "status")["nodes"]
+        name = self._started.get(node, node)
+        found = [item for item in nodes if item["node"] == name]
+        return str(found[0]["state"]) if found else "unknown"
+
+    def _engines_hold(self, model: str) -> bool:
+        fields = self.cluster.admin("GET", "status")
+        newest = fields["models"].get(model, 0)
+        held = [
+            versions.get(model, 0)
+            for item in fields["nodes"]
+            if item["upstream"] == "lm" and item["status"] and item["state"] == "alive"
+            for versions in item["status"]["versions"].values()
+        ]
+        return bool(held) and all(version == newest for version in held)
+
+    def _do_check(self, *words: str) -> str:
+        found = list(self._violations([str(word) for word in words]))
+        assert not found, found
+        return "holds"
+
+    def _outcomes(self) -> list[TrainerOutcome]:
+        outcomes = []
+        for name, state in self._trainers.items():
+            declared = self._config.trainer(name)
+            assert declared is not None
+            outcomes.append(
+                TrainerOutcome(
+                    name,
+                    declared.staleness_bound_versions,
+                    state.step_samples,
+                    state.simulated.log,
+                )
+            )
+        return outcomes
+
+    def _violations(self, words: list[str]) -> Iterator[str]:
+        services = list(self.cluster.runs("app").values())
+        match words:
+            case ["versions"]:
+                runs = self.cluster.runs("lm")
+                yield from checks.check_versions(self._outcomes(), runs)
+            case ["mixed", "versions", trainer]:
+                log = self._trainers[trainer].simulated.log
+                if not any(len(item.spans) > 1 for _step, item, _new in log.taken):
+                    yield "no sample was made across a swap"
+            case ["staleness"]:
+                yield from checks.check_staleness(self._outcomes())
+            case ["exactly", "once"]:
+                yield from checks.check_exactly_once(self._outcomes())
+            case ["thrown", "away", trainer]:
+                if not self._client(trainer).too_stale:
+                    yield "the trainer threw no sample away"
+            case ["whole", "answers"]:
+                answers = [item for item in self._results if item.status == 200]
+                yield from (item.name for item in answers if not item.whole)
+            case ["not", "run"]:
+                yield from self._not_run_violations(services)
+            case ["at", "most", "once"]:
+                yield from checks.check_at_most_once(services, ["billed"])
+            case ["leaving"]:
+                runs = {**self.cluster.runs("app"), **self.cluster.runs("lm")}
+                yield from checks.check_leaving(self._left_unix_s, runs, _GRACE_S)
+            case ["one", "winner"]:
+                if len(set(self._generations)) != len(self._generations):
+                    yield f"generations {self._generations}"
+            case ["section", section, "holds", word]:
+                yield from self._section_violations(section, word)
+            case _:
+                raise ValueError(f"no such check: {' '.join(words)}")
+
+    def _not_run_violations(self, services: list[Any]) -> Iterator[str]:
+        ran = {run["payload"].get("id") for runs in services for run in runs}
+        told = {item.name for item in self._results if item.execution == "not-run"}
+        answered = {item.name for item in self._results if item.status == 200}
+        yield from (f"{name} was refused and ran" for name in (told & ran) - answered)
+
+    def _section_violations(self, section: str, word: str) -> Iterator[str]:
+        for entry in self.cluster.names("entry-"):
+            reply = self.cluster.request(
+                entry, "GET", "/admin/v1/config", None, OPERATOR_TOKEN
+            )
+            if not isinstance(reply, HttpReply) or word not in str(
+                reply.json()["config"].get(section)
+            ):
+                yield f"{section} at {entry} does not hold {word}"
