Steps go on past an owner that callers can't reach; planned stops don't wait

The links to the owner's node were stalled, but its own way to the object API was open: it renewed its lease for ever, every other agent named it as the owner, and no entry could reach it. Second: an entry took 10 to 19 s to stop, since asyncio waits for the thread of a waiting watch.

Ruled out: the lease's length (it never lapses while renewed) and membership (it was suspected and refuted by turns, as both directions differ).

Change: an entry that can't reach the holder names it when it opens the step elsewhere; that agent then takes the lease with a higher fence. Watches wait in a daemon thread. Placement lets a group's home fill half of its slots whatever the mean load: the unit test of affinity found a bound of one sample on an empty system.

--- a/pistachioglade/agent/_owner.py
+++ b/pistachioglade/agent/_owner.py
@@ -78,7 +78,7 @@
         if problem is not None:
             return problem
         lease = self._lease(message.trainer)
-        elsewhere = await lease.acquire()
+        elsewhere = await lease.acquire(message.unreachable_owner)
         if elsewhere is not None:
             return elsewhere
         runs = self._runs.setdefault(message.trainer, {})
--- a/pistachioglade/agent/_owner_lease.py
+++ b/pistachioglade/agent/_owner_lease.py
@@ -66,6 +66,7 @@
         self._version = 0
         self._value: LeaseValue | None = None
         self._lock = asyncio.Lock()
+        self._unreachable_owner = ""
         self.state = LeaseState.LOST
         self.fence = 0
 
@@ -74,11 +75,16 @@
         """Whether this node may act as the owner."""
         return self.state is not LeaseState.LOST
 
-    async def acquire(self) -> OwnerIs | None:
-        """Take the lease; return who has it if it can't be taken now."""
+    async def acquire(self, unreachable_owner: str = "") -> OwnerIs | None:
+        """Take the lease; return who has it if it can't be taken now.
+
+        A holder that callers can't reach may go on renewing, since its own way to
+        the object API is open; so the lease is taken from ``unreachable_owner``.
+        """
         async with self._lock:
             if self.is_held:
                 return None
+            self._unreachable_owner = unreachable_owner
             stored = await asyncio.to_thread(self._node.api.get, self._path)
             if isinstance(stored, StoredObject):
                 return await self._contend(stored)
@@ -98,7 +104,9 @@
 
     def _is_free(self, value: LeaseValue, now_s: float) -> bool:
         own = self._node.settings.node
-        if value.owner in ("", own) or self._observer.lapsed(self._lease_s, now_s):
+        if value.owner in ("", own, self._unreachable_owner) or self._observer.lapsed(
+            self._lease_s, now_s
+        ):
             return True
         member = self._node.board.read(MEMBERS).get(value.owner)
         if member is None:
--- a/pistachioglade/controllers/_root.py
+++ b/pistachioglade/controllers/_root.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import threading
 import time
 from collections.abc import Awaitable, Callable
 from types import MappingProxyType
@@ -116,18 +117,34 @@
         if self._announce is not None:
             await self._announce(root.generation)
 
-    async def watch(self) -> None:
-        """Follow the root in the object API, for as long as the process runs."""
+    def watch(self) -> None:
+        """Follow the root in the object API, for as long as the process runs.
+
+        The waiting happens in a daemon thread: a planned stop must not wait for
+        the answer of a watch.
+        """
+        loop = asyncio.get_running_loop()
+        thread = threading.Thread(target=self._watch, args=(loop,), daemon=True)
+        thread.start()
+
+    def _watch(self, loop: asyncio.AbstractEventLoop) -> None:
         version = 0
-        while True:
-            found = await asyncio.to_thread(
-                self._api.watch, ROOT_PATH, version, _WATCH_WAIT_S
-            )
+        while not loop.is_closed():
+            found = self._api.watch(ROOT_PATH, version, _WATCH_WAIT_S)
             if isinstance(found, StoredObject):
                 version = found.version
-                await self.fetch_from_store()
+                self._fetch_soon(loop)
             elif isinstance(found, Refusal):
-                await asyncio.sleep(_WATCH_PAUSE_S)
+                time.sleep(_WATCH_PAUSE_S)
+
+    def _fetch_soon(self, loop: asyncio.AbstractEventLoop) -> None:
+        if loop.is_closed():
+            return
+        work = self.fetch_from_store()
+        try:
+            asyncio.run_coroutine_threadsafe(work, loop)
+        except RuntimeError:
+            work.close()
 
 
 def _whole_config(root: RootState, parts: dict[str, str]) -> ServiceConfig | None:
--- a/pistachioglade/decisions/_placement.py
+++ b/pistachioglade/decisions/_placement.py
@@ -17,6 +17,8 @@
 
 #: How much fuller than the mean a preferred agent may be.
 LOAD_FACTOR: Final = 1.25
+#: Part of its slots that a preferred agent may always fill.
+_FREE_PART: Final = 0.5
 
 
 @attrs.frozen
@@ -79,6 +81,6 @@
         name
         for name in order
         if (by_name[name].outstanding + by_name[name].others + 1)
-        <= max(1.0, bound * max(1, by_name[name].slots))
+        <= max(_FREE_PART, bound) * max(1, by_name[name].slots)
     )
     return next(fitting, min(room, key=lambda view: (view.load, view.agent)).agent)
--- /dev/null
+++ b/pistachioglade/decisions/tests/test_step.py
@@ -0,0 +1,128 @@
+"""The plan of a step: every index once, whatever order things happen in."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ...messages import Receipt, Sample, VersionSpan
+from .. import AgentView, StepPlan, StepPolicy
+
+_AGENTS = ("a", "b", "c")
+
+
+def _sample(index: int, agent: str, version: int = 1) -> Sample:
+    spans = (VersionSpan(version, 10),)
+    return Sample(index, f"{agent}.1.{index}", "text", spans, agent, agent)
+
+
+def _receipt(sample: Sample) -> Receipt:
+    return Receipt(sample.index, sample.copy_id, sample.spans, 0, 0.0, sample.agent)
+
+
+def _views(plan: StepPlan) -> list[AgentView]:
+    outstanding = plan.outstanding()
+    return [AgentView(agent, 4, outstanding.get(agent, 0)) for agent in _AGENTS]
+
+
+def test_all_samples_are_started_once() -> None:
+    plan = StepPlan("k", [3, 3], StepPolicy())
+    started = []
+    while (dispatch := plan.next_dispatch(_views(plan), 0.0)) is not None:
+        started.append(dispatch.index)
+    assert sorted(started) == list(range(6))
+
+
+def test_a_group_prefers_one_agent() -> None:
+    plan = StepPlan("k", [3], StepPolicy())
+    agents = set()
+    while (dispatch := plan.next_dispatch(_views(plan), 0.0)) is not None:
+        agents.add(dispatch.agent)
+    assert len(agents) <= 2
+
+
+def test_a_slow_sample_is_hedged_once_and_the_loser_is_named() -> None:
+    plan = StepPlan("k", [10], StepPolicy(hedge_part=0.1))
+    started = []
+    while (dispatch := plan.next_dispatch(_views(plan), 0.0)) is not None:
+        started.append(dispatch)
+    for dispatch in started[:9]:
+        plan.finish(dispatch.agent, _sample(dispatch.index, dispatch.agent), 1.0)
+    slow = started[9]
+    hedge = plan.next_dispatch(_views(plan), 9.0)
+    assert hedge is not None
+    assert (hedge.index, hedge.hedge) == (slow.index, True)
+    assert hedge.agent != slow.agent
+    assert plan.next_dispatch(_views(plan), 9.0) is None
+    losers = plan.finish(hedge.agent, _sample(hedge.index, hedge.agent), 10.0)
+    assert losers == (slow.agent,)
+
+
+def test_both_copies_of_a_hedge_finish_and_one_counts() -> None:
+    plan = StepPlan("k", [1], StepPolicy())
+    plan.finish("a", _sample(0, "a"), 1.0)
+    plan.finish("b", _sample(0, "b"), 1.0)
+    assert [sample.agent for sample in plan.ready(10)] == ["a"]
+
+
+def test_stale_copies_are_made_again() -> None:
+    plan = StepPlan("k", [2], StepPolicy())
+    plan.next_dispatch(_views(plan), 0.0)
+    plan.finish("a", _sample(0, "a", version=1), 1.0)
+    assert [item.index for item in plan.drop_stale(3, 1)] == [0]
+    assert plan.ready(10) == ()
+    assert plan.pending_count == 2
+
+
+def test_a_restored_trainer_gets_again_what_it_lost() -> None:
+    plan = StepPlan("k", [2], StepPolicy())
+    receipts = [_receipt(_sample(index, "a")) for index in range(2)]
+    plan.receive(receipts)
+    assert plan.is_complete
+    plan.restore(receipts[:1])
+    assert plan.missing_count == 1
+    assert plan.pending_count == 1
+
+
+_EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["start", "finish", "fail", "take", "reject", "restore"]),
+        st.integers(0, 5),
+    ),
+    max_size=60,
+)
+
+
+@given(_EVENTS)
+def test_no_sample_is_ever_lost(events: list[tuple[str, int]]) -> None:
+    """Each index is waiting, running, ready or receipted, whatever happens."""
+    plan = StepPlan("k", [3, 3], StepPolicy(hedge_part=1.0))
+    now_s = 0.0
+    for event, index in events:
+        now_s += 1.0
+        running = [agent for agent in _AGENTS if index in plan.running_at(agent)]
+        if event == "start":
+            plan.next_dispatch(_views(plan), now_s)
+        elif event == "finish" and running:
+            plan.finish(running[0], _sample(index, running[0]), now_s)
+        elif event == "fail" and running:
+            plan.fail(running[0], index)
+        elif event == "take":
+            plan.receive(map(_receipt, plan.ready(index)))
+        elif event == "reject":
+            plan.reject([index])
+        elif event == "restore":
+            plan.restore(plan.receipts[: index // 2])
+    _finish(plan)
+    assert plan.is_complete
+    assert [item.index for item in plan.receipts] == list(range(6))
+
+
+def _finish(plan: StepPlan) -> None:
+    for _round in range(20):
+        while plan.next_dispatch(_views(plan), 1000.0) is not None:
+            pass
+        for agent in _AGENTS:
+            for index in plan.running_at(agent):
+                plan.finish(agent, _sample(index, agent), 1000.0)
+        plan.receive(map(_receipt, plan.ready(100)))
--- a/pistachioglade/entry/_program.py
+++ b/pistachioglade/entry/_program.py
@@ -118,7 +118,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.begin_drain)
         await self.node.start(self._links)
-        self.node.spawn(self.node.root.watch())
+        self.node.root.watch()
         self.node.spawn(self._routes.usage.run())
         self._http.prepare()
         thread = threading.Thread(target=self._http.serve, daemon=True)
--- a/pistachioglade/entry/_steps.py
+++ b/pistachioglade/entry/_steps.py
@@ -6,6 +6,8 @@
 import time
 from typing import Final
 
+import attrs
+
 from ..config import Trainer
 from ..controllers import MEMBERS, Node, usable_agents
 from ..decisions import rendezvous_order
@@ -13,7 +15,7 @@
 from ..messages import FetchSamples, OpenStep, OwnerIs, SampleBatch, StepOpened
 
 _PAUSE_S: Final = 0.15
-_OPEN_TIMEOUT_S: Final = 15.0
+_OPEN_TIMEOUT_S: Final = 8.0
 _ANSWER_MARGIN_S: Final = 5.0
 
 StepMessage = OpenStep | FetchSamples
@@ -23,6 +25,7 @@
     {
         ErrorKind.LINK_LOST,
         ErrorKind.LINK_NOT_OPEN,
+        ErrorKind.DEADLINE_EXCEEDED,
         ErrorKind.LEAVING,
         ErrorKind.NO_CONFIG,
     }
@@ -35,6 +38,7 @@
     def __init__(self, node: Node) -> None:
         self._node = node
         self._owners: dict[str, str] = {}
+        self._unreachable: dict[str, str] = {}
 
     async def send(
         self, trainer: Trainer, message: StepMessage, budget_s: float
@@ -51,15 +55,23 @@
                 passed.clear()
                 await asyncio.sleep(_PAUSE_S)
                 continue
-            answer = await self._ask(owner, message)
+            answer = await self._ask(owner, self._addressed(trainer, message))
             if isinstance(answer, StepOpened | SampleBatch):
                 self._owners[trainer.name] = owner
+                self._unreachable.pop(trainer.name, None)
                 return answer
             last = await self._learn(trainer, owner, answer, passed)
             if last.kind not in _ELSEWHERE and last.kind is not ErrorKind.NOT_OWNER:
                 return last
         return last
 
+    def _addressed(self, trainer: Trainer, message: StepMessage) -> StepMessage:
+        """Name the owner that can't be reached, so that another may take over."""
+        unreachable = self._unreachable.get(trainer.name)
+        if unreachable is None or isinstance(message, FetchSamples):
+            return message
+        return attrs.evolve(message, unreachable_owner=unreachable)
+
     def _first(self, trainer: Trainer, passed: set[str]) -> str | None:
         agents = {
             record.node
@@ -94,11 +106,12 @@
             self._owners[trainer.name] = answer.owner
             reason = f"{answer.owner} has the lease on the steps of {trainer.name}"
             if answer.owner in passed:
-                await asyncio.sleep(_PAUSE_S)
+                self._unreachable[trainer.name] = answer.owner
                 self._owners.pop(trainer.name, None)
-                passed.clear()
+                await asyncio.sleep(_PAUSE_S)
             return refuse(ErrorKind.NOT_OWNER, reason)
         if answer.kind in _ELSEWHERE:
+            self._unreachable[trainer.name] = owner
             self._owners.pop(trainer.name, None)
             passed.add(owner)
         return answer
--- a/pistachioglade/load/_cluster.py
+++ b/pistachioglade/load/_cluster.py
@@ -224,10 +224,9 @@
         for name in nodes:
             self.signal(name, signal.SIGTERM)
         self._reap(nodes, _STOP_S)
-        others = [name for name in running if name not in nodes]
-        for name in others:
-            self.signal(name, signal.SIGTERM)
-        self._reap(others, 5.0)
+        for name in running:
+            if self.is_running(name):
+                self.kill(name)
         self.relays.close()
 
     def _nodes(self) -> set[str]:
--- a/pistachioglade/load/_program.py
+++ b/pistachioglade/load/_program.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import sys
 
+import attrs
 import click
 
 from ..config import SettingsError
+from ._compare import Workload, compare, render_comparison
 from ._demo import run_demo
 from ._fault_run import run_faults
 
@@ -16,6 +19,32 @@
     """Run the demo, loads and experiments."""
 
 
+@main.command("compare")
+@click.option("--deployment", default="vereniging", help="Folder in deployments/.")
+@click.option("--seeds", default="1", help="Seeds, separated by commas.")
+@click.option("--steps", default=6, help="Steps of each trainer.")
+@click.option("--train-s", type=float, default=None, help="Time of training.")
+@click.option("--slow-factor", default=1.0, help="Slowness of one engine.")
+@click.option("--call-factor", default=1.0, help="Factor on the rate of calls.")
+@click.option("--output", type=click.Choice(["table", "json"]), default="table")
+def _compare(
+    deployment: str,
+    seeds: str,
+    steps: int,
+    train_s: float | None,
+    slow_factor: float,
+    call_factor: float,
+    output: str,
+) -> None:
+    """Run both policies on the same seeded work and compare the measures."""
+    work = Workload(steps, train_s, slow_factor, call_factor)
+    measures = compare(deployment, [int(seed) for seed in seeds.split(",")], work)
+    if output == "json":
+        click.echo(json.dumps([attrs.asdict(item) for item in measures], indent=2))
+    else:
+        click.echo(render_comparison(measures))
+
+
 @main.command("faults")
 @click.option("--deployment", default="vereniging", help="Folder in deployments/.")
 @click.option("--seeds", default="1", help="Seeds, separated by commas.")
--- a/pistachioglade/messages/_samples.py
+++ b/pistachioglade/messages/_samples.py
@@ -61,6 +61,8 @@
     receipts: tuple[Receipt, ...] = ()
     # Time since the trainer first opened the step.
     age_s: float = 0.0
+    # Lease holder that the entry could not reach; empty for none.
+    unreachable_owner: str = ""
     # W3C trace context.
     traceparent: str = ""
 
--- a/pistachioglade/trainer/_client.py
+++ b/pistachioglade/trainer/_client.py
@@ -25,7 +25,7 @@
 from ._receipts import StepReceipts, Verdict
 
 _PATIENCE_S: Final = 120.0
-_TIMEOUT_S: Final = 20.0
+_TIMEOUT_S: Final = 45.0
 _SETTLE_PAUSE_S: Final = 0.5
 _SETTLE_INTERVAL_S: Final = 3.0
 
--- /dev/null
+++ b/pistachioglade/trainer/tests/test_receipts.py
@@ -0,0 +1,56 @@
+"""Receipts: exactly once, and never beyond the bound."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ...messages import Sample, VersionSpan
+from .. import StepCheckpoint, StepReceipts, TrainerCheckpoint, Verdict
+
+
+def _sample(index: int, version: int = 1, copy: str = "c") -> Sample:
+    return Sample(index, copy, "t", (VersionSpan(version, 3),), "a", "e")
+
+
+def test_a_version_published_while_reading_makes_a_sample_stale() -> None:
+    receipts = StepReceipts(2)
+    assert receipts.offer(_sample(0), 2, 1, 0.0) is Verdict.TAKEN
+    assert receipts.offer(_sample(1), 3, 1, 0.0) is Verdict.TOO_STALE
+    assert receipts.rejected() == (1,)
+
+
+def test_the_oldest_span_counts() -> None:
+    spans = (VersionSpan(1, 1), VersionSpan(3, 99))
+    mixed = Sample(0, "c", "t", spans, "a", "e")
+    assert StepReceipts(1).offer(mixed, 3, 1, 0.0) is Verdict.TOO_STALE
+
+
+def test_a_duplicate_makes_its_receipt_go_out_again() -> None:
+    receipts = StepReceipts(1)
+    receipts.offer(_sample(0), 1, 0, 0.0)
+    sent = receipts.unsent()
+    receipts.acknowledged(sent, ())
+    assert receipts.unsent() == ()
+    assert receipts.offer(_sample(0, copy="d"), 1, 0, 0.0) is Verdict.DUPLICATE
+    assert receipts.unsent() == sent
+
+
+@given(st.lists(st.tuples(st.integers(-1, 5), st.integers(1, 3), st.integers(1, 3))))
+def test_no_index_is_taken_twice(offers: list[tuple[int, int, int]]) -> None:
+    receipts = StepReceipts(4)
+    taken = [
+        index
+        for index, version, newest in offers
+        if receipts.offer(_sample(index, version), newest, 1, 0.0) is Verdict.TAKEN
+    ]
+    assert len(taken) == len(set(taken))
+    assert {receipt.index for receipt in receipts.all()} == set(taken)
+    assert all(item.staleness_versions <= 1 for item in receipts.all())
+
+
+def test_a_checkpoint_comes_back_as_it_was() -> None:
+    receipts = StepReceipts(2)
+    receipts.offer(_sample(1), 1, 0, 0.5)
+    saved = TrainerCheckpoint(4, (StepCheckpoint(9, 1.5, receipts.all()),))
+    assert TrainerCheckpoint.from_json(saved.to_json()) == saved
