Placement by agent, preemption for calls, a tool that takes mechanisms out

Ruled out: the fair queue itself (shares equal the demand under both policies).

The agent with most room is chosen first and takes from its own groups, or takes over the fullest group of a home without free slots. Hedges go out for slow agents or stuck samples alone. Agents that are slow get nothing near a step's end.

--- a/pistachioglade/agent/_program.py
+++ b/pistachioglade/agent/_program.py
@@ -96,7 +96,8 @@
     async def _(self, message: Generate, peer: Peer) -> Any:
         result = await self._rollouts.generate(message)
         if isinstance(result, Sample):
-            return Generated(result, self._rollouts.load())
+            lost = self._rollouts.take_preempted_tokens()
+            return Generated(result, self._rollouts.load(), lost)
         return result
 
     @handle.register
--- a/pistachioglade/agent/_rollouts.py
+++ b/pistachioglade/agent/_rollouts.py
@@ -64,6 +64,20 @@
     oldest_version: int | None = None
     # Tokens so far.
     tokens: int = 0
+    # Whether it holds a slot.
+    is_running: bool = False
+    # Whether it was stopped to make room for a call.
+    is_preempted: bool = False
+    # Tokens that were made and lost by that.
+    preempted_tokens: int = 0
+
+    def begin_again(self) -> None:
+        """Forget a run that was stopped to make room for a call."""
+        self.preempted_tokens += self.tokens
+        self.tokens = 0
+        self.oldest_version = None
+        self.is_preempted = False
+        self.stop = threading.Event()
 
 
 class RolloutRunner:
@@ -92,8 +106,15 @@
         self._paces: dict[str, VersionPace] = defaultdict(VersionPace)
         self._known: dict[str, int] = {}
         self._duration_s: dict[str, float] = {}
+        self.preempted_tokens = 0
+        scheduler.on_starved_call(self.preempt_youngest)
         node.board.follow(NEWEST, lambda _value: self._on_versions())
 
+    def take_preempted_tokens(self) -> int:
+        """Return the tokens lost to calls that nobody was told of yet."""
+        lost, self.preempted_tokens = self.preempted_tokens, 0
+        return lost
+
     def load(self) -> AgentLoad:
         """Return the load that goes back with every answer."""
         _calls, running = self._slots.running()
@@ -120,7 +141,7 @@
         if kept is not None:
             return kept
         making = self._making.get(key)
-        if making is not None and not making.stop.is_set():
+        if making is not None and making.stop_reason is None:
             return await asyncio.shield(making.result)
         refusal = self._node.admission()
         if refusal is not None:
@@ -156,14 +177,20 @@
         result: Sample | Refusal = refuse(ErrorKind.INTERNAL, "the rollout failed")
         try:
             result = await self._queue_and_run(making)
+            while making.is_preempted and making.stop_reason is None:
+                making.begin_again()
+                result = await self._queue_and_run(making, is_again=True)
         finally:
             if self._making.get(key) is making:
                 del self._making[key]
             if isinstance(result, Sample):
                 self._kept[key] = (time.monotonic(), result)
+                self.preempted_tokens += making.preempted_tokens
             making.result.set_result(result)
 
-    async def _queue_and_run(self, making: _Making) -> Sample | Refusal:
+    async def _queue_and_run(
+        self, making: _Making, is_again: bool = False
+    ) -> Sample | Refusal:
         message = making.message
         waiting = WaitingRollout(
             message.trainer,
@@ -172,16 +199,22 @@
             asyncio.get_running_loop().create_future(),
         )
         making.waiting = waiting
-        refusal = self._scheduler.add_rollout(waiting)
+        refusal = None
+        if is_again:
+            self._scheduler.add_again(waiting)
+        else:
+            refusal = self._scheduler.add_rollout(waiting)
         if refusal is not None:
             return refusal
         slot = await waiting.slot
         making.waiting = None
         if isinstance(slot, Refusal):
             return slot
+        making.is_running = True
         try:
             return await self._run(making, slot)
         finally:
+            making.is_running = False
             self._scheduler.release_rollout(slot, message.trainer, making.tokens)
 
     def _min_version(self, message: Generate) -> int:
@@ -320,6 +353,21 @@
                 self._stop(making, refusal)
         return None
 
+    def preempt_youngest(self) -> None:
+        """Free the slot of the rollout that loses the fewest tokens.
+
+        A call must not wait for a rollout's end; the rollout starts again first.
+        """
+        running = [
+            making
+            for making in self._making.values()
+            if making.is_running and not making.stop.is_set()
+        ]
+        if running:
+            youngest = min(running, key=lambda making: making.tokens)
+            youngest.is_preempted = True
+            youngest.stop.set()
+
     def refuse_waiting(self, refusal: Refusal) -> None:
         """Refuse what has not started, since the agent leaves."""
         self._scheduler.refuse_waiting(refusal)
--- a/pistachioglade/agent/_scheduler.py
+++ b/pistachioglade/agent/_scheduler.py
@@ -52,10 +52,15 @@
         self._calls: deque[WaitingCall] = deque()
         self.rollouts: FairQueue[WaitingRollout] = FairQueue({})
         self._in_order: deque[WaitingRollout] = deque()
+        self._preempt: Callable[[], None] = lambda: None
         board.follow(INSTANCES, lambda _value: self.pump())
         board.follow(CONFIG, lambda _value: self.pump())
         board.follow(NEWEST, lambda _value: self.pump())
 
+    def on_starved_call(self, preempt: Callable[[], None]) -> None:
+        """Name what frees a slot when a call finds none."""
+        self._preempt = preempt
+
     @property
     def config(self) -> ServiceConfig:
         """The configuration in force."""
@@ -92,6 +97,8 @@
         waiting = WaitingCall(time.monotonic() + budget_s, _future())
         self._calls.append(waiting)
         self.pump()
+        if self.is_fair and not waiting.slot.done():
+            self._preempt()
         try:
             async with asyncio.timeout(budget_s):
                 return await asyncio.shield(waiting.slot)
@@ -110,6 +117,11 @@
         self._slots.release_call(instance)
         self.pump()
 
+    def add_again(self, waiting: WaitingRollout) -> None:
+        """Queue a rollout that lost its slot to a call, before the others."""
+        self.rollouts.push_front(waiting.trainer, waiting)
+        self.pump()
+
     def add_rollout(self, waiting: WaitingRollout) -> Refusal | None:
         """Queue a rollout, or say why not."""
         limits = self.limits
--- a/pistachioglade/agent/_step_run.py
+++ b/pistachioglade/agent/_step_run.py
@@ -46,16 +46,16 @@
 _REST_S: Final = 0.5
 
 
-def step_policy(policy: Policy) -> StepPolicy:
-    """Return how steps are run under a declared policy."""
+def step_policy(policy: Policy, share_percent: int) -> StepPolicy:
+    """Return how a trainer's steps are run under a declared policy."""
     if policy.name != "fair":
-        return StepPolicy(
-            PlacementPolicy(group_affinity=False), False, 0.0, drop_stale_early=False
-        )
+        placement = PlacementPolicy(group_affinity=False, backlog_factor=1.5)
+        return StepPolicy(placement, longest_first=False, hedge_part=0.0)
     hedge_part = policy.hedge_percent / 100.0
     if policy.weighing is Weighing.STALENESS:
         hedge_part /= 2
-    return StepPolicy(hedge_part=hedge_part)
+    placement = PlacementPolicy(share_part=share_percent / 100.0)
+    return StepPolicy(placement, hedge_part=hedge_part)
 
 
 class StepRun:
@@ -77,7 +77,11 @@
         self._ledger = ledger
         self._may_start = may_start
         config = node.board.read(CONFIG)
-        policy = step_policy(config.policy if config else Policy())
+        trainer = self._trainer()
+        policy = step_policy(
+            config.policy if config else Policy(),
+            trainer.share_percent if trainer else 100,
+        )
         sizes = [group.sample_count for group in message.groups]
         key = f"{message.trainer}/{message.step}"
         self.plan = StepPlan(key, sizes, policy)
@@ -212,6 +216,8 @@
         self._loads.returned(agent)
         if isinstance(answer, Generated) and answer.sample is not None:
             self._loads.report(agent, answer.load)
+            if answer.preempted_tokens:
+                self._wasted_tokens["preempted"] += answer.preempted_tokens
             self._finish(agent, answer.sample)
         else:
             refusal = answer if isinstance(answer, Refusal) else _no_sample()
--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -10,7 +10,7 @@
 from ._keys import Attach, KeyGate, Replay, Run
 from ._lease import LeaseObserver
 from ._membership import BUCKET_COUNT, Membership
-from ._placement import AgentView, PlacementPolicy, choose_agent
+from ._placement import AgentView, GroupHomes, PlacementPolicy, slow_agents
 from ._retry import RetryBudget, may_retry
 from ._ring import fingers
 from ._staleness import VersionPace, is_fresh, will_be_fresh
@@ -26,6 +26,7 @@
     "ChooserSettings",
     "Dispatch",
     "FairQueue",
+    "GroupHomes",
     "KeyGate",
     "LeaseObserver",
     "Membership",
@@ -36,12 +37,12 @@
     "StepPlan",
     "StepPolicy",
     "VersionPace",
-    "choose_agent",
     "fetch_sources",
     "fingers",
     "is_fresh",
     "may_retry",
     "rendezvous_order",
+    "slow_agents",
     "stable_hash",
     "wave_delay_s",
     "will_be_fresh",
--- a/pistachioglade/decisions/_fairness.py
+++ b/pistachioglade/decisions/_fairness.py
@@ -53,6 +53,10 @@
             self._lift(trainer)
         self._waiting[trainer].append(item)
 
+    def push_front(self, trainer: str, item: T) -> None:
+        """Put a rollout that lost its slot before the others of its trainer."""
+        self._waiting[trainer].appendleft(item)
+
     def _is_active(self, trainer: str) -> bool:
         return bool(self._waiting[trainer]) or self._running[trainer] > 0
 
--- a/pistachioglade/decisions/_placement.py
+++ b/pistachioglade/decisions/_placement.py
@@ -1,24 +1,26 @@
 """Which agent makes a sample.
 
-Samples of a group share a prompt, so they prefer one agent, by rendezvous
-hashing, for the prefix cache. The preference gives way once that agent has more
-than a bounded multiple of the mean load (hashing with bounded loads). Loads are
-the last report plus what was sent since.
+Samples of a group share a prompt, so each group has a home agent, for the prefix
+cache: by rendezvous hashing, with no home much fuller than the mean (hashing with
+bounded loads). An agent with room takes from its own groups; when it has none left
+it takes over the fullest group of a home without free slots. Loads are the last report
+plus what was sent since.
 """
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Container, Iterable, Mapping, Sequence
+from itertools import chain
 from typing import Final
 
 import attrs
 
 from ._hashing import rendezvous_order
 
-#: How much fuller than the mean a preferred agent may be.
-LOAD_FACTOR: Final = 1.25
-#: Part of its slots that a preferred agent may always fill.
-_FREE_PART: Final = 0.5
+#: How much fuller than the mean a home may be.
+LOAD_FACTOR: Final = 1.1
+#: Samples beyond its share that a trainer keeps waiting at an agent.
+_CLAIM: Final = 1
 
 
 @attrs.frozen
@@ -27,8 +29,11 @@
 
     # Whether samples of a group prefer one agent.
     group_affinity: bool = True
-    # How many samples may be at an agent for each of its slots.
-    backlog_factor: float = 1.5
+    # How many samples may be at an agent for each of its slots; None for as many
+    # as keep the agent busy and the trainer's share claimed.
+    backlog_factor: float | None = None
+    # Share of the trainer, as a part of all slots.
+    share_part: float = 1.0
 
 
 @attrs.frozen
@@ -52,35 +57,86 @@
         return (self.outstanding + self.others) / max(1, self.slots)
 
 
-def choose_agent(
-    agents: Sequence[AgentView], group_key: str, policy: PlacementPolicy
-) -> str | None:
-    """Return the agent for the next sample of a group, or None if all are full."""
-    room = [
-        view
-        for view in agents
-        if view.usable and view.outstanding < policy.backlog_factor * view.slots
-    ]
-    if not room:
-        return None
-    if not policy.group_affinity:
-        return min(room, key=lambda view: (view.load, view.agent)).agent
-    return _by_affinity(agents, room, group_key)
-
-
-def _by_affinity(
-    agents: Sequence[AgentView], room: Sequence[AgentView], group_key: str
-) -> str:
-    usable = [view for view in agents if view.usable]
-    total = sum(view.outstanding + view.others for view in usable) + 1
-    slots = sum(max(1, view.slots) for view in usable)
-    bound = LOAD_FACTOR * total / slots
-    by_name = {view.agent: view for view in room}
-    order = rendezvous_order(group_key, by_name)
-    fitting = (
-        name
-        for name in order
-        if (by_name[name].outstanding + by_name[name].others + 1)
-        <= max(_FREE_PART, bound) * max(1, by_name[name].slots)
-    )
-    return next(fitting, min(room, key=lambda view: (view.load, view.agent)).agent)
+def agents_with_room(
+    agents: Sequence[AgentView], policy: PlacementPolicy
+) -> list[AgentView]:
+    """Return the agents that may be sent a sample, the least loaded first."""
+    room = [view for view in agents if view.usable and _has_room(view, policy)]
+    return sorted(room, key=lambda view: (view.load, view.agent))
+
+
+def _has_room(view: AgentView, policy: PlacementPolicy) -> bool:
+    """Return whether one more sample helps at an agent.
+
+    It does while slots are free, and while fewer wait there than it takes to claim
+    the trainer's share. More would only queue there while others fall idle.
+    """
+    if policy.backlog_factor is not None:
+        return view.outstanding < policy.backlog_factor * view.slots
+    is_free = view.outstanding + view.others < view.slots
+    return is_free or view.outstanding < policy.share_part * view.slots + _CLAIM
+
+
+class GroupHomes:
+    """The home agent of each group of a step."""
+
+    def __init__(self, key: str) -> None:
+        self._key = key
+        self._homes: dict[int, str] = {}
+
+    def assign(self, waiting: Mapping[int, int], agents: Iterable[AgentView]) -> None:
+        """Give a home to each group that has none; ``waiting`` counts samples."""
+        slots = {view.agent: max(1, view.slots) for view in agents}
+        if not slots:
+            return
+        homeless = [group for group in waiting if self._homes.get(group) not in slots]
+        if not homeless:
+            return
+        loads = self._loads(waiting, slots)
+        bound = LOAD_FACTOR * sum(waiting.values()) / sum(slots.values())
+        for group in homeless:
+            order = rendezvous_order(f"{self._key}/{group}", slots)
+            fitting = (agent for agent in order if loads[agent] / slots[agent] <= bound)
+            home = next(fitting, min(order, key=lambda item: loads[item] / slots[item]))
+            self._homes[group] = home
+            loads[home] += waiting[group]
+
+    def _loads(
+        self, waiting: Mapping[int, int], slots: Iterable[str]
+    ) -> dict[str, int]:
+        loads = dict.fromkeys(slots, 0)
+        homed = ((self._homes.get(group), count) for group, count in waiting.items())
+        for home, count in homed:
+            if home in loads:
+                loads[home] += count
+        return loads
+
+    def groups_for(
+        self, agent: str, waiting: Mapping[int, int], busy: Container[str]
+    ) -> list[int]:
+        """Return the groups that an agent with room takes from.
+
+        Without groups of its own it takes over the fullest one of a ``busy`` home;
+        what waits at a home with free slots is left there.
+        """
+        own = [group for group in waiting if self._homes.get(group) == agent]
+        if own:
+            return own
+        movable = [group for group in waiting if self._homes.get(group) in busy]
+        if not movable:
+            return []
+        fullest = max(movable, key=lambda group: (waiting[group], -group))
+        self._homes[fullest] = agent
+        return [fullest]
+
+
+def slow_agents(rates: Mapping[str, Sequence[float]], factor: float) -> frozenset[str]:
+    """Return the agents whose token rate is below ``factor`` of the others' mean."""
+    means = {
+        agent: sum(values) / len(values) for agent, values in rates.items() if values
+    }
+    everyone = list(chain(means.values()))
+    if len(everyone) < 2:
+        return frozenset()
+    best = sorted(everyone)[len(everyone) // 2]
+    return frozenset(agent for agent, rate in means.items() if rate < factor * best)
--- a/pistachioglade/decisions/_step.py
+++ b/pistachioglade/decisions/_step.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections import defaultdict, deque
+from collections.abc import Iterable, Iterator, Sequence
 from itertools import accumulate, chain
 from statistics import fmean
 from typing import Final
@@ -16,13 +16,23 @@
 import attrs
 
 from ..messages import Receipt, Sample
-from ._placement import AgentView, PlacementPolicy, choose_agent
+from ._placement import (
+    AgentView,
+    GroupHomes,
+    PlacementPolicy,
+    agents_with_room,
+    slow_agents,
+)
 from ._staleness import is_fresh
 
 #: A sample may be hedged once this part of the step is finished.
 _HEDGE_FROM: Final = 0.7
-#: A sample is slow beyond this multiple of the mean duration.
-_SLOW_FACTOR: Final = 1.3
+#: A sample is stuck beyond this multiple of its expected duration.
+_STUCK_FACTOR: Final = 3.0
+#: An agent is slow whose token rate is below this part of the usual one.
+_SLOW_RATE: Final = 0.6
+#: Samples by which an agent's rate is judged.
+_RATE_WINDOW: Final = 16
 
 
 @attrs.frozen
@@ -35,8 +45,6 @@
     longest_first: bool = True
     # Part of the samples that may be started twice.
     hedge_part: float = 0.05
-    # Whether copies that can no longer be fresh are stopped at once.
-    drop_stale_early: bool = True
 
 
 @attrs.frozen
@@ -85,6 +93,10 @@
         self._receipts: dict[int, Receipt] = {}
         self._group_tokens: dict[int, list[int]] = defaultdict(list)
         self._durations_s: list[float] = []
+        self._rates: dict[str, deque[float]] = defaultdict(
+            lambda: deque(maxlen=_RATE_WINDOW)
+        )
+        self._homes = GroupHomes(key)
         self._hedged = 0
 
     @property
@@ -152,24 +164,52 @@
         return dispatch
 
     def _next_pending(self, agents: Sequence[AgentView]) -> Dispatch | None:
-        group = self._next_group()
-        if group is None:
-            return None
-        key = f"{self._key}/{group}"
-        agent = choose_agent(agents, key, self._policy.placement)
-        if agent is None:
-            return None
-        index = self._pending[group].pop(0)
-        if not self._pending[group]:
-            del self._pending[group]
-        return Dispatch(index, group, agent)
-
-    def _next_group(self) -> int | None:
+        room = agents_with_room(agents, self._policy.placement)
         if not self._pending:
             return None
+        for agent, group in self._choices(room, agents):
+            index = self._pending[group].pop(0)
+            if not self._pending[group]:
+                del self._pending[group]
+            return Dispatch(index, group, agent)
+        return None
+
+    def _choices(
+        self, room: Sequence[AgentView], agents: Sequence[AgentView]
+    ) -> Iterator[tuple[str, int]]:
+        """Yield agents with room and the group that each would take from."""
+        if not self._policy.placement.group_affinity:
+            yield from ((view.agent, min(self._pending)) for view in room)
+            return
+        waiting = {group: len(left) for group, left in self._pending.items()}
+        self._homes.assign(waiting, [view for view in agents if view.usable])
+        chosen = self._without_slow(room, agents)
+        free = {view.agent for view in chosen if view.load < 1.0}
+        busy = {view.agent for view in agents} - free
+        for view in chosen:
+            groups = self._homes.groups_for(view.agent, waiting, busy)
+            if groups:
+                yield view.agent, self._best_group(groups)
+
+    def _without_slow(
+        self, room: Sequence[AgentView], agents: Sequence[AgentView]
+    ) -> Sequence[AgentView]:
+        """Return the agents to choose from; near the end no slow ones.
+
+        What a slow agent gets last is what the trainer waits for.
+        """
+        slow = slow_agents(self._rates, _SLOW_RATE)
+        quick_slots = sum(
+            view.slots for view in agents if view.usable and view.agent not in slow
+        )
+        if self.pending_count > 2 * quick_slots:
+            return room
+        return [view for view in room if view.agent not in slow]
+
+    def _best_group(self, groups: Sequence[int]) -> int:
         if not self._policy.longest_first:
-            return min(self._pending)
-        return min(self._pending, key=self._group_rank)
+            return min(groups)
+        return min(groups, key=self._group_rank)
 
     def _group_rank(self, group: int) -> tuple[int, int, int]:
         """Probe each group once, then finish the longest groups first."""
@@ -181,14 +221,16 @@
         return first in self._running or first in self._ready
 
     def _next_hedge(self, agents: Sequence[AgentView], now_s: float) -> Dispatch | None:
+        """Start a second copy of what a slow or silent agent holds up."""
         budget = self._policy.hedge_part * self.sample_count
         finished = len(self._ready) + len(self._receipts)
         if self._hedged >= budget or finished < _HEDGE_FROM * self.sample_count:
             return None
-        slow = self._slowest(now_s)
-        if slow is None:
+        slow = slow_agents(self._rates, _SLOW_RATE)
+        late = self._latest(slow, now_s)
+        if late is None:
             return None
-        taken = {copy.agent for copy in self._running[slow]}
+        taken = {copy.agent for copy in self._running[late]} | slow
         idle = [
             view
             for view in agents
@@ -197,24 +239,28 @@
         if not idle:
             return None
         agent = min(idle, key=lambda view: (view.load, view.agent)).agent
-        return Dispatch(slow, self._group_of[slow], agent, hedge=True)
+        return Dispatch(late, self._group_of[late], agent, hedge=True)
 
-    def _slowest(self, now_s: float) -> int | None:
-        limit_s = _SLOW_FACTOR * self.expected_duration_s()
+    def _latest(self, slow: frozenset[str], now_s: float) -> int | None:
+        """Return the oldest single copy that is at a slow agent or stuck."""
+        stuck_s = _STUCK_FACTOR * self.expected_duration_s()
         singles = [
             (copies[0].started_s, index)
             for index, copies in self._running.items()
-            if len(copies) == 1 and now_s - copies[0].started_s > limit_s
+            if len(copies) == 1
+            and (copies[0].agent in slow or 0 < stuck_s < now_s - copies[0].started_s)
         ]
-        return min(singles)[1] if singles and limit_s > 0 else None
+        return min(singles)[1] if singles else None
 
     def finish(self, agent: str, sample: Sample, now_s: float) -> tuple[str, ...]:
         """Take a finished copy; return the agents whose copies are now useless."""
         index = sample.index
         copies = self._running.pop(index, [])
-        self._durations_s += [
+        for duration_s in (
             now_s - copy.started_s for copy in copies if copy.agent == agent
-        ]
+        ):
+            self._durations_s.append(duration_s)
+            self._rates[agent].append(sample.token_count / max(1e-6, duration_s))
         self._group_tokens[self._group_of[index]].append(sample.token_count)
         if index not in self._receipts and index not in self._ready:
             self._unqueue(index)
--- a/pistachioglade/decisions/tests/test_step.py
+++ b/pistachioglade/decisions/tests/test_step.py
@@ -126,3 +126,18 @@
             for index in plan.running_at(agent):
                 plan.finish(agent, _sample(index, agent), 1000.0)
         plan.receive(map(_receipt, plan.ready(100)))
+
+
+def test_what_waits_for_a_slow_home_goes_elsewhere_near_the_end() -> None:
+    """The groups of a home that is passed over must not wait for ever."""
+    plan = StepPlan("k", [3, 3, 3, 3], StepPolicy())
+    while plan.pending_count >= 6:
+        plan.next_dispatch(_views(plan), 0.0)
+    for agent, end_s in (("a", 1.0), ("b", 1.0), ("c", 100.0)):
+        for index in plan.running_at(agent):
+            plan.finish(agent, _sample(index, agent), end_s)
+    while plan.next_dispatch(_views(plan), 0.0) is not None:
+        for agent in _AGENTS:
+            for index in plan.running_at(agent):
+                plan.finish(agent, _sample(index, agent), 1.0)
+    assert plan.pending_count == 0
--- a/pistachioglade/messages/_samples.py
+++ b/pistachioglade/messages/_samples.py
@@ -201,6 +201,8 @@
     sample: Sample | None
     # Load of the agent at the time of the answer.
     load: AgentLoad
+    # Tokens lost to calls at the agent since its last answer to anyone.
+    preempted_tokens: int = 0
 
 
 @attrs.frozen
--- a/pistachioglade/standins/_engine.py
+++ b/pistachioglade/standins/_engine.py
@@ -320,12 +320,13 @@
 
 
 def _length(fields: dict[str, Any]) -> int:
-    """Return a length with a long tail; a seed always gives the same one."""
+    """Return a length with a long tail, alike for samples of one prompt."""
     most = int(fields["max_tokens"])
     if int(fields["priority"]) == 0:
         return most
-    rng = random.Random(int(fields["seed"]))
-    return max(4, min(most, int(most * 0.25 * rng.lognormvariate(0.0, 0.6))))
+    of_prompt = random.Random(str(fields["prompt"])).lognormvariate(0.0, 0.5)
+    of_sample = random.Random(int(fields["seed"])).lognormvariate(0.0, 0.35)
+    return max(4, min(most, int(most * 0.25 * of_prompt * of_sample)))
 
 
 def _word(seed: int, place: int) -> str:
--- /dev/null
+++ b/tests/without.py
@@ -0,0 +1,210 @@
+"""Takes one mechanism out of a copy of the tree and shows that its proof breaks.
+
+Run by hand: ``python -m tests.without [NAME ...]``. For each mechanism it copies the
+package and the tests, makes the edit, runs the named tests there and expects them to
+fail. Exit code 1 means that some proof passed without its mechanism.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import attrs
+
+_ROOT = Path(__file__).parents[1]
+
+
+@attrs.frozen
+class Mechanism:
+    """One mechanism and the tests that must miss it."""
+
+    # Short name.
+    name: str
+    # File, below the package.
+    path: str
+    # Text that is the mechanism.
+    old: str
+    # Text without it.
+    new: str
+    # Tests that must fail, as pytest takes them.
+    tests: tuple[str, ...]
+
+
+def _scenario(name: str) -> str:
+    return f"tests/test_scenarios.py::test_scenario[{name}]"
+
+
+MECHANISMS = (
+    Mechanism(
+        "versions: each event's own version",
+        "agent/_upstream.py",
+        "if self.runs and self.runs[-1][0] == version:",
+        "if self.runs:",
+        (_scenario("versions_across_a_swap"),),
+    ),
+    Mechanism(
+        "staleness: the bound where the sample is taken",
+        "trainer/_receipts.py",
+        "if not is_fresh(sample.oldest_version, newest_version, bound_versions):",
+        "if False:",
+        (_scenario("staleness_in_flight"),),
+    ),
+    Mechanism(
+        "exactly once: the trainer's receipts",
+        "trainer/_receipts.py",
+        "if known is not None or not 0 <= sample.index < self._sample_count:",
+        "if not 0 <= sample.index < self._sample_count:",
+        ("pistachioglade/trainer/tests/test_receipts.py",),
+    ),
+    Mechanism(
+        "exactly once: a step that opens again starts from the trainer's receipts",
+        "agent/_step_run.py",
+        "for index in self.plan.restore(message.receipts):",
+        "for index in self.plan.receive(message.receipts):",
+        (_scenario("exactly_once_trainer_restored"),),
+    ),
+    Mechanism(
+        "exactly once: an owner that can't be reached loses its lease",
+        "entry/_steps.py",
+        "return attrs.evolve(message, unreachable_owner=unreachable)",
+        "return message",
+        (_scenario("exactly_once_owner_cut_off"),),
+    ),
+    Mechanism(
+        "exactly once: steps go on without the object API",
+        "agent/_owner_lease.py",
+        "            return self._provisional()\n\n    async def _contend",
+        '            return OwnerIs("nobody")\n\n    async def _contend',
+        (_scenario("exactly_once_in_an_outage"),),
+    ),
+    Mechanism(
+        "whole answers: the echoed request id",
+        "agent/_upstream.py",
+        "if echoed != request_id:",
+        "if False:",
+        (_scenario("whole_answers"),),
+    ),
+    Mechanism(
+        "whole answers: the announced token count",
+        "agent/_upstream.py",
+        "if not saw_done or self.announced_tokens != tokens or not tokens:",
+        "if not tokens:",
+        (_scenario("whole_answers"),),
+    ),
+    Mechanism(
+        "not run: a lost answer is unknown",
+        "agent/_upstream.py",
+        "return refuse(ErrorKind.UPSTREAM_LOST, refusal.reason)",
+        "return refuse(ErrorKind.NO_UPSTREAM, refusal.reason)",
+        (_scenario("not_run_answers_cut"),),
+    ),
+    Mechanism(
+        "at most once: the key's gate",
+        "decisions/_keys.py",
+        "        if key in state.running:\n            return Attach()\n",
+        "",
+        (_scenario("at_most_once_retry_elsewhere"),),
+    ),
+    Mechanism(
+        "at most once: keys are bound to one incarnation",
+        "decisions/_keys.py",
+        "if (ticket.agent, ticket.incarnation) != (self._agent, self._incarnation):",
+        "if ticket.agent != self._agent:",
+        ("pistachioglade/decisions/tests/test_keys.py",),
+    ),
+    Mechanism(
+        "at most once: unknown is not retried",
+        "decisions/_retry.py",
+        "return refusal.did_not_run or idempotent",
+        "return True",
+        (_scenario("not_run_answers_cut"),),
+    ),
+    Mechanism(
+        "leaving: the agent's own look at its instance",
+        "agent/_scheduler.py",
+        "if view.healthy and not view.leaving",
+        "if view.healthy",
+        (_scenario("leaving"),),
+    ),
+    Mechanism(
+        "planned stop: what runs is finished",
+        "agent/_program.py",
+        "while self._is_busy() and time.monotonic() < deadline_s:",
+        "while False:",
+        (_scenario("planned_stop"),),
+    ),
+    Mechanism(
+        "configuration: the swap is conditional on what was in force",
+        "entry/_publish.py",
+        "if root.parts not in (base.parts, parts):",
+        "if False:",
+        (_scenario("configuration_whole_or_not"),),
+    ),
+    Mechanism(
+        "configuration: a lost answer is read back",
+        "platform/_root_store.py",
+        "if earlier is not None:",
+        "if False:",
+        ("pistachioglade/platform/tests/test_root_store.py",),
+    ),
+    Mechanism(
+        "configuration: only higher generations are taken",
+        "controllers/_root.py",
+        "        if root.generation <= self.generation:\n"
+        "            return\n"
+        "        config =",
+        "        config =",
+        ("pistachioglade/controllers/tests/test_root.py",),
+    ),
+    Mechanism(
+        "configuration: restarted nodes ask their peers",
+        "controllers/_membership.py",
+        "        await self._root.fetch_from_peer(address, answer.generation)\n"
+        "        return True",
+        "        return True",
+        (_scenario("configuration_never_back"),),
+    ),
+)
+
+
+def _breaks(mechanism: Mechanism) -> bool:
+    """Return whether the proof fails without the mechanism."""
+    with tempfile.TemporaryDirectory(prefix="without-") as folder:
+        copy = Path(folder)
+        for name in ("pistachioglade", "tests", "deployments"):
+            shutil.copytree(_ROOT / name, copy / name)
+        shutil.copy(_ROOT / "pyproject.toml", copy)
+        path = copy / "pistachioglade" / mechanism.path
+        text = path.read_text(encoding="utf-8")
+        assert mechanism.old in text, f"{mechanism.name}: the text is not there"
+        path.write_text(text.replace(mechanism.old, mechanism.new), encoding="utf-8")
+        result = subprocess.run(
+            [sys.executable, "-m", "pytest", "-n", "0", "-x", *mechanism.tests],
+            cwd=copy,
+            env={**os.environ, "PYTHONPATH": folder},
+            capture_output=True,
+            check=False,
+        )
+    return result.returncode == 1
+
+
+def main(names: list[str]) -> int:
+    """Try the mechanisms whose names hold one of ``names``; all by default."""
+    survivors = 0
+    for mechanism in MECHANISMS:
+        if names and not any(name in mechanism.name for name in names):
+            continue
+        is_broken = _breaks(mechanism)
+        survivors += not is_broken
+        verdict = "its proof fails" if is_broken else "NOTHING FAILS"
+        print(f"without {mechanism.name}: {verdict}", flush=True)
+    return 1 if survivors else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
