--- a/pistachioglade/agent/_program.py
+++ b/pistachioglade/agent/_program.py
@@ -76,7 +76,9 @@
         )
         self._weights = WeightController(settings, self.node, clients, self._watcher)
         self._owner = StepOwner(settings, self.node, self._rollouts)
-        self._server = LinkServer(self.node.identity, self.handle)
+        self._server = LinkServer(
+            self.node.identity, self.handle, self.node.pool.traffic
+        )
         self._drain_asked = asyncio.Event()
 
     @singledispatchmethod
@@ -138,6 +140,8 @@
             running=sum(self._slots.running()),
             queued=sum(self._scheduler.queued()),
             owned_trainers=self._owner.owned_trainers(),
+            link_frames=self.node.pool.traffic.frames,
+            link_bytes=self.node.pool.traffic.frame_bytes,
         )
 
     def begin_drain(self) -> None:
--- a/pistachioglade/agent/_rollouts.py
+++ b/pistachioglade/agent/_rollouts.py
@@ -64,6 +64,10 @@
     oldest_version: int | None = None
     # Tokens so far.
     tokens: int = 0
+    # Tokens of the first event, which a prompt's reading comes before.
+    first_tokens: int = 0
+    # When the first event came.
+    first_s: float = 0.0
     # Whether it holds a slot.
     is_running: bool = False
     # Whether it was stopped to make room for a call.
@@ -71,6 +75,11 @@
     # Tokens that were made and lost by that.
     preempted_tokens: int = 0
 
+    def speed(self, end_s: float) -> float:
+        """Return the tokens a second after the first event."""
+        spent_s = end_s - self.first_s
+        return (self.tokens - self.first_tokens) / spent_s if spent_s > 0 else 0.0
+
     def begin_again(self) -> None:
         """Forget a run that was stopped to make room for a call."""
         self.preempted_tokens += self.tokens
@@ -268,14 +277,19 @@
             result = await loop.run_in_executor(self._executor, work)
         if isinstance(result, Refusal):
             return await self._stopped(making, client, request_id, result)
+        speed = making.speed(time.monotonic())
         self._note_duration(message.trainer, time.monotonic() - started_s)
-        return await self._sample_of(message, instance, result)
+        sample = await self._sample_of(message, instance, result)
+        return attrs.evolve(sample, tokens_per_s=speed)
 
     @staticmethod
     def _progress(making: _Making, version: int, tokens: int) -> bool:
         """Count tokens; runs in the thread that reads the stream."""
         known = making.oldest_version
         making.oldest_version = version if known is None else min(known, version)
+        if making.tokens == 0:
+            making.first_tokens = tokens
+            making.first_s = time.monotonic()
         making.tokens += tokens
         return not making.stop.is_set()
 
--- a/pistachioglade/decisions/_step.py
+++ b/pistachioglade/decisions/_step.py
@@ -260,7 +260,8 @@
             now_s - copy.started_s for copy in copies if copy.agent == agent
         ):
             self._durations_s.append(duration_s)
-            self._rates[agent].append(sample.token_count / max(1e-6, duration_s))
+        if sample.tokens_per_s > 0:
+            self._rates[agent].append(sample.tokens_per_s)
         self._group_tokens[self._group_of[index]].append(sample.token_count)
         if index not in self._receipts and index not in self._ready:
             self._unqueue(index)
--- a/pistachioglade/entry/_program.py
+++ b/pistachioglade/entry/_program.py
@@ -44,7 +44,9 @@
         self._routes = Routes(
             self.node, Authenticator(token), settings.default_budget_s
         )
-        self._links = LinkServer(self.node.identity, self.handle)
+        self._links = LinkServer(
+            self.node.identity, self.handle, self.node.pool.traffic
+        )
         host, _, port = settings.http_address.rpartition(":")
         self._http = Server(
             (host, int(port)),
--- a/pistachioglade/entry/_routes.py
+++ b/pistachioglade/entry/_routes.py
@@ -307,6 +307,8 @@
             versions={},
             running=0,
             queued=0,
+            link_frames=self._node.pool.traffic.frames,
+            link_bytes=self._node.pool.traffic.frame_bytes,
         )
 
     async def _drain(self, node: str, operator: Operator) -> Response | Refusal:
--- a/pistachioglade/links/_client.py
+++ b/pistachioglade/links/_client.py
@@ -13,6 +13,7 @@
 from ..messages import MAX_FRAME_BYTES, decode_frame, encode_frame
 from ..telemetry import logger
 from ._identity import Identity
+from ._traffic import Traffic
 
 _log = logger(__name__)
 
@@ -27,7 +28,8 @@
 class Link:
     """One open connection to a peer; answers are matched by correlation id."""
 
-    def __init__(self, connection: ClientConnection) -> None:
+    def __init__(self, connection: ClientConnection, traffic: Traffic) -> None:
+        self._traffic = traffic
         self._connection = connection
         self._ids = count(1)
         self._waiting: dict[int, asyncio.Future[Any]] = {}
@@ -46,6 +48,7 @@
         self._waiting[number] = future
         try:
             async with asyncio.timeout(timeout_s):
+                self._traffic.count(frame)
                 await self._connection.send(frame)
                 return await future
         except TimeoutError:
@@ -67,6 +70,7 @@
 
     def _accept(self, frame: str | bytes) -> None:
         data = frame if isinstance(frame, bytes) else frame.encode()
+        self._traffic.count(data)
         envelope = decode_frame(data)
         if isinstance(envelope, Refusal):
             _log.warning("link.bad_frame", reason=envelope.reason)
@@ -92,6 +96,7 @@
 
     def __init__(self, identity: Identity) -> None:
         self._identity = identity
+        self.traffic = Traffic()
         self._links: dict[str, Link] = {}
         self._locks: dict[str, asyncio.Lock] = {}
 
@@ -132,7 +137,7 @@
         except (OSError, TimeoutError, WebSocketException) as error:
             reason = f"no link to {address}: {type(error).__name__}: {error}"
             return refuse(ErrorKind.LINK_NOT_OPEN, reason)
-        return Link(connection)
+        return Link(connection, self.traffic)
 
     async def forget(self, address: str) -> None:
         """Close the link to an address that is no longer needed."""
--- a/pistachioglade/links/_server.py
+++ b/pistachioglade/links/_server.py
@@ -17,6 +17,7 @@
 from ..telemetry import logger
 from ._client import PING_INTERVAL_S, PING_TIMEOUT_S
 from ._identity import Identity
+from ._traffic import Traffic
 
 _log = logger(__name__)
 
@@ -39,8 +40,11 @@
 class LinkServer:
     """Listens for links and hands their messages to one handler."""
 
-    def __init__(self, identity: Identity, handler: LinkHandler) -> None:
+    def __init__(
+        self, identity: Identity, handler: LinkHandler, traffic: Traffic | None = None
+    ) -> None:
         self._identity = identity
+        self._traffic = traffic or Traffic()
         self._handler = handler
         self._server: Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -89,6 +93,7 @@
         self, connection: ServerConnection, peer: Peer, frame: str | bytes
     ) -> None:
         data = frame if isinstance(frame, bytes) else frame.encode()
+        self._traffic.count(data)
         envelope = decode_frame(data)
         if isinstance(envelope, Refusal):
             _log.warning("link.bad_frame", peer=peer.node, reason=envelope.reason)
@@ -97,8 +102,10 @@
         else:
             number = envelope.correlation_id
             answer = await self._handle(envelope.message, peer)
+        reply = encode_frame(number, answer)
+        self._traffic.count(reply)
         try:
-            await connection.send(encode_frame(number, answer))
+            await connection.send(reply)
         except ConnectionClosed:
             _log.info("link.answer_lost", peer=peer.node, kind=type(answer).__name__)
 
--- a/pistachioglade/load/_cluster.py
+++ b/pistachioglade/load/_cluster.py
@@ -244,8 +244,9 @@
 class _Builder:
     """Writes the settings and starts the processes of a deployment."""
 
-    def __init__(self, cluster: Cluster, options: Mapping[str, Any]) -> None:
+    def __init__(self, cluster: Cluster, options: dict[str, Any]) -> None:
         self._cluster = cluster
+        self._is_bare = bool(options.pop("bare_agents", False))
         self._options = options
         self._folder = cluster.folder
         self._listed: list[dict[str, Any]] = []
@@ -283,7 +284,9 @@
 
     def _common(self, node: str, domain: str) -> dict[str, Any]:
         listen_address = free_address()
-        address = self._cluster.relays.add(node, listen_address)
+        address = listen_address
+        if not self._is_bare:
+            address = self._cluster.relays.add(node, listen_address)
         self._listed.append({"name": node, "link_address": address, "leaving": False})
         return {
             "node": node,
@@ -302,6 +305,8 @@
             yield self._agent(plan, number)
 
     def _agent(self, plan: UpstreamPlan, number: int) -> ProcessPlan:
+        if self._is_bare:
+            return self._bare_agent(plan, number)
         deployment = self._cluster.deployment
         instance = f"{plan.name}-{number}"
         options = ["--name", instance, "--slots", str(plan.slots)]
@@ -325,6 +330,17 @@
         }
         return self._node(node, "pistachioglade-agent", settings)
 
+    def _bare_agent(self, plan: UpstreamPlan, number: int) -> ProcessPlan:
+        """Plan an agent without instances, to measure control alone."""
+        node = f"agent-{plan.name}-{number}"
+        self._cluster.upstream_of[node] = plan.name
+        settings = {
+            "common": self._common(node, next(self._domains)),
+            "upstream": plan.name,
+            "instances": [],
+        }
+        return self._node(node, "pistachioglade-agent", settings)
+
     def _entry(self, number: int) -> ProcessPlan:
         node = f"entry-{number}"
         address = free_address()
--- a/pistachioglade/load/_program.py
+++ b/pistachioglade/load/_program.py
@@ -4,11 +4,14 @@
 
 import json
 import sys
+from pathlib import Path
 
 import attrs
 import click
 
 from ..config import SettingsError
+from ._capacity import measure_capacity
+from ._capacity_page import renew_page
 from ._compare import Workload, compare, render_comparison
 from ._demo import run_demo
 from ._fault_run import run_faults
@@ -45,6 +48,34 @@
         click.echo(render_comparison(measures))
 
 
+@main.command("capacity")
+@click.option("--nodes", default="8,16,32,64", help="Sizes of the fleet.")
+@click.option("--samples", default="1024,2048,4096,8192", help="Sizes of a step.")
+@click.option("--trainers", default="2,7,14", help="Sizes of the declarative file.")
+@click.option("--output", default="", help="File for the readings, as JSON.")
+def _capacity(nodes: str, samples: str, trainers: str, output: str) -> None:
+    """Measure what control costs at several sizes."""
+    sizes = [
+        [int(item) for item in text.split(",")] for text in (nodes, samples, trainers)
+    ]
+    readings = measure_capacity(*sizes)
+    text = json.dumps([attrs.asdict(item) for item in readings], indent=1)
+    if output:
+        Path(output).write_text(text + "\n", encoding="utf-8")
+    click.echo(text)
+
+
+@main.command("capacity-page")
+@click.argument("readings")
+@click.argument("page")
+def _capacity_page(readings: str, page: str) -> None:
+    """Recompute the tables of docs/CAPACITY.md from readings."""
+    path = Path(page)
+    text = path.read_text(encoding="utf-8")
+    fields = json.loads(Path(readings).read_text(encoding="utf-8"))
+    path.write_text(renew_page(text, fields), encoding="utf-8")
+
+
 @main.command("faults")
 @click.option("--deployment", default="vereniging", help="Folder in deployments/.")
 @click.option("--seeds", default="1", help="Seeds, separated by commas.")
--- a/pistachioglade/messages/_control.py
+++ b/pistachioglade/messages/_control.py
@@ -202,3 +202,7 @@
     queued: int
     # Trainers whose steps this node owns.
     owned_trainers: tuple[str, ...] = ()
+    # Frames that its links carried, both ways.
+    link_frames: int = 0
+    # Bytes of those frames.
+    link_bytes: int = 0
--- a/pistachioglade/messages/_samples.py
+++ b/pistachioglade/messages/_samples.py
@@ -105,6 +105,8 @@
     engine: str
     # Score that the scorer gave; None where no scorer is declared.
     score: float | None = None
+    # Speed from the first token to the last; 0 where it is not known.
+    tokens_per_s: float = 0.0
 
     @property
     def oldest_version(self) -> int:
