--- a/pistachioglade/decisions/_step.py
+++ b/pistachioglade/decisions/_step.py
@@ -27,8 +27,8 @@
 
 #: A sample may be hedged once this part of the step is finished.
 _HEDGE_FROM: Final = 0.7
-#: A sample is stuck beyond this multiple of its expected duration.
-_STUCK_FACTOR: Final = 3.0
+#: A sample is stuck beyond this multiple of the longest finished one's duration.
+_STUCK_FACTOR: Final = 1.5
 #: An agent is slow whose token rate is below this part of the usual one.
 _SLOW_RATE: Final = 0.6
 #: Samples by which an agent's rate is judged.
@@ -148,10 +148,6 @@
         known = self._group_tokens.get(group)
         return int(fmean(known)) if known else 0
 
-    def expected_duration_s(self) -> float:
-        """Return the mean duration of the finished samples; 0 if none is."""
-        return fmean(self._durations_s) if self._durations_s else 0.0
-
     def next_dispatch(
         self, agents: Sequence[AgentView], now_s: float
     ) -> Dispatch | None:
@@ -243,7 +239,7 @@
 
     def _latest(self, slow: frozenset[str], now_s: float) -> int | None:
         """Return the oldest single copy that is at a slow agent or stuck."""
-        stuck_s = _STUCK_FACTOR * self.expected_duration_s()
+        stuck_s = _STUCK_FACTOR * max(self._durations_s, default=0.0)
         singles = [
             (copies[0].started_s, index)
             for index, copies in self._running.items()
--- a/pistachioglade/load/_cluster.py
+++ b/pistachioglade/load/_cluster.py
@@ -312,7 +312,9 @@
         options = ["--name", instance, "--slots", str(plan.slots)]
         options += ["--record-file", str(self._cluster.record_path(instance))]
         is_engine = plan.kind is UpstreamKind.ENGINE
-        if is_engine:
+        if not is_engine:
+            options += ["--work-s", str(deployment.service_work_s)]
+        else:
             options += ["--tick-s", str(deployment.tick_s)]
             options += ["--swap-s", str(deployment.swap_s)]
             if number < plan.ignore_fence_instances:
--- a/pistachioglade/load/_compare.py
+++ b/pistachioglade/load/_compare.py
@@ -102,7 +102,8 @@
     memory_mb: float
 
 
-def _percentile_s(durations: Iterable[float], percent: float) -> float:
+def percentile_s(durations: Iterable[float], percent: float) -> float:
+    """Return a percentile of durations; not a number without any."""
     histogram = HdrHistogram(1, 3_600_000_000, 3)
     for duration_s in durations:
         histogram.record_value(max(1, int(duration_s * 1e6)))
@@ -211,10 +212,10 @@
         refusals = Counter(record.error for record in records if record.error)
         return {
             "on_time_part": on_time / max(1, len(records)),
-            "engine_p50_s": _percentile_s(durations[True], 50),
-            "engine_p99_s": _percentile_s(durations[True], 99),
-            "service_p50_s": _percentile_s(durations[False], 50),
-            "service_p99_s": _percentile_s(durations[False], 99),
+            "engine_p50_s": percentile_s(durations[True], 50),
+            "engine_p99_s": percentile_s(durations[True], 99),
+            "service_p50_s": percentile_s(durations[False], 50),
+            "service_p99_s": percentile_s(durations[False], 99),
             "refusals": dict(refusals),
         }
 
--- a/pistachioglade/load/_deployment.py
+++ b/pistachioglade/load/_deployment.py
@@ -86,6 +86,8 @@
     store_bytes_per_s: float = 8e6
     # Time of one tick of an engine.
     tick_s: float = 0.02
+    # Time of one call of a plain service.
+    service_work_s: float = 0.005
     # Time that an engine pauses for a swap.
     swap_s: float = 0.2
 
--- a/pistachioglade/load/_lookups.py
+++ b/pistachioglade/load/_lookups.py
@@ -67,10 +67,16 @@
     """Makes calls and keeps what came back."""
 
     def __init__(
-        self, plan: CallerPlan, urls: tuple[str, ...], budget_s: float, seed: int
+        self,
+        plan: CallerPlan,
+        urls: tuple[str, ...],
+        budget_s: float,
+        seed: int,
+        threads: int = _THREADS,
     ) -> None:
         self._plan = plan
-        self._sessions = [HttpSession(url, _THREADS) for url in urls]
+        self._sessions = [HttpSession(url, threads) for url in urls]
+        self._threads = threads
         self._turn = cycle(range(len(urls)))
         self._budget_s = budget_s
         self._rng = random.Random(f"{plan.name}/{plan.operation}/{seed}")
@@ -106,7 +112,7 @@
         """Call at the planned rate until the time is over."""
         end_s = time.monotonic() + duration_s
         next_s = time.monotonic()
-        with ThreadPoolExecutor(_THREADS) as pool:
+        with ThreadPoolExecutor(self._threads) as pool:
             while not self.stopped.is_set() and next_s < end_s:
                 time.sleep(max(0.0, next_s - time.monotonic()))
                 pool.submit(self.call, next(self._serial), next_s)
--- a/pistachioglade/load/_program.py
+++ b/pistachioglade/load/_program.py
@@ -14,6 +14,7 @@
 from ._capacity_page import renew_page
 from ._compare import Workload, compare, render_comparison
 from ._demo import run_demo
+from ._experiments import EXPERIMENTS
 from ._fault_run import run_faults
 
 
@@ -48,6 +49,14 @@
         click.echo(render_comparison(measures))
 
 
+@main.command("experiment")
+@click.argument("name", type=click.Choice(sorted(EXPERIMENTS)))
+def _experiment(name: str) -> None:
+    """Measure the answer to one question."""
+    for what, figure in EXPERIMENTS[name]():
+        click.echo(f"{what:44} {figure:10.4f}")
+
+
 @main.command("capacity")
 @click.option("--nodes", default="8,16,32,64", help="Sizes of the fleet.")
 @click.option("--samples", default="1024,2048,4096,8192", help="Sizes of a step.")
