--- a/pistachioglade/controllers/_membership.py
+++ b/pistachioglade/controllers/_membership.py
@@ -30,7 +30,7 @@
 
 _log = logger(__name__)
 
-_HEARTBEAT_INTERVAL_S: Final = 1.0
+_HEARTBEAT_INTERVAL_S: Final = 1.5
 _HEARTBEAT_TIMEOUT_S: Final = 1.0
 _FLUSH_INTERVAL_S: Final = 0.05
 _JOIN_PAUSE_S: Final = 0.5
@@ -60,6 +60,7 @@
         self._table = Membership(own)
         self._rng = random.Random(f"{own.node}/{own.incarnation}")
         self._news: dict[str, MemberRecord] = {}
+        self._has_news = asyncio.Event()
         self._heard_s: dict[str, float] = {}
         self._last_peer_s = time.monotonic()
         self._publish()
@@ -77,6 +78,7 @@
         news = {record.node: record for record in records}
         if news:
             self._news.update(news)
+            self._has_news.set()
             self._publish()
 
     def take(self, records: Iterable[MemberRecord]) -> None:
@@ -222,12 +224,13 @@
     async def _flushes(self) -> None:
         """Pass news on, a little later, so that more of it travels together."""
         while True:
+            await self._has_news.wait()
             await asyncio.sleep(_FLUSH_INTERVAL_S)
             batch = list(self._news.values())[:_NEWS_BATCH]
-            if not batch:
-                continue
             for record in batch:
                 self._news.pop(record.node, None)
+            if not self._news:
+                self._has_news.clear()
             await self._tell_peers(MemberChanges(tuple(batch)))
 
     async def announce_root(self, generation: int) -> None:
--- a/pistachioglade/load/__init__.py
+++ b/pistachioglade/load/__init__.py
@@ -10,6 +10,7 @@
     token_of,
 )
 from ._deployment import CallerPlan, Deployment, TrainerPlan, UpstreamPlan
+from ._fault_run import run_faults
 from ._program import main
 from ._relays import Relays, RelayState, free_address
 from ._trainers import SimulatedTrainer
@@ -29,6 +30,7 @@
     "checks",
     "free_address",
     "main",
+    "run_faults",
     "start_cluster",
     "token_of",
 ]
