Owner messages carry only what agents read; fault run names what it catches

Cause: Generate had two fields that no agent read (group, expected_tokens), left from a queue order that moved into the owner's plan; the fault run caught any exception where only the cluster's own can come. Conclusion: longest-first is the owner's matter alone.

--- a/pistachioglade/agent/_step_run.py
+++ b/pistachioglade/agent/_step_run.py
@@ -202,13 +202,11 @@
             model=trainer.model,
             step=self.step,
             index=dispatch.index,
-            group=dispatch.group,
             prompt=message.groups[dispatch.group].prompt,
             max_tokens=message.max_tokens,
             seed=seed,
             fence=self._fence(),
             min_version=max(FIRST_VERSION, oldest),
-            expected_tokens=self.plan.expected_tokens(dispatch.group),
             traceparent=message.traceparent,
         )
 
--- a/pistachioglade/load/_fault_run.py
+++ b/pistachioglade/load/_fault_run.py
@@ -31,7 +31,7 @@
     check_versions,
     check_whole_answers,
 )
-from ._cluster import OPERATOR_TOKEN, Cluster, start_cluster
+from ._cluster import OPERATOR_TOKEN, Cluster, ClusterError, start_cluster
 from ._demo import make_callers, make_trainers
 from ._deployment import load_deployment
 from ._fault_plan import Fault, KillTrainer, Race, begin, end, make_schedule
@@ -226,7 +226,7 @@
                 "the last generation everywhere",
                 lambda: self._cluster.generation_everywhere(top),
             )
-        except Exception as error:  # reported as a violation
+        except ClusterError as error:
             yield f"configuration: {error}"
 
     def _ledger(self) -> list[StepRecord]:
--- a/pistachioglade/messages/_samples.py
+++ b/pistachioglade/messages/_samples.py
@@ -177,8 +177,6 @@
     step: int
     # Index of the sample in its step.
     index: int
-    # Index of the group, for the prefix cache.
-    group: int
     # Prompt text.
     prompt: str
     # Most tokens.
@@ -189,8 +187,6 @@
     fence: int
     # Oldest version that the sample may start with.
     min_version: int
-    # Expected tokens, for longest-first order; 0 when not known.
-    expected_tokens: int
     # W3C trace context.
     traceparent: str = ""
 
