--- a/pistachioglade/load/_program.py
+++ b/pistachioglade/load/_program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import sys
 from pathlib import Path
 
@@ -18,9 +19,15 @@
 from ._fault_run import run_faults
 
 
+def _end(number: int, _frame: object) -> None:
+    """Unwind on SIGTERM as on Ctrl-C, so that no started process is left."""
+    sys.exit(128 + number)
+
+
 @click.group()
 def main() -> None:
     """Run the demo, loads and experiments."""
+    signal.signal(signal.SIGTERM, _end)
 
 
 @main.command("compare")
