A trainer's body may not set what the entry knows

Cause: reading the routes as a newcomer would: a body's fields were overwritten silently where the entry knows better, and one of them was not overwritten at all, so a trainer could have named any holder as unreachable and moved its own lease at will.

Ruled out: reaching another trainer's steps (the trainer's name always came from the token). Change: a body that sets such a field is refused, bad-request.

--- a/pistachioglade/entry/_routes.py
+++ b/pistachioglade/entry/_routes.py
@@ -178,6 +178,7 @@
             trainer=trainer.name,
             step=step,
             traceparent=request.traceparent,
+            unreachable_owner="",
         )
         if isinstance(message, Refusal):
             return message
@@ -352,10 +353,13 @@
 
 
 def _structure(request: Request, cls: type[Any], **known: Any) -> Any:
-    """Return the message of a request's body; ``known`` can't be set by it."""
+    """Return the message of a request's body; it may not hold what is known."""
     fields = request.json()
     if isinstance(fields, Refusal):
         return fields
+    clash = sorted(set(fields) & set(known))
+    if clash:
+        return refuse(ErrorKind.BAD_REQUEST, f"the body may not set {clash[0]!r}")
     if "step" in known and not known["step"].isdigit():
         return refuse(ErrorKind.BAD_REQUEST, "a step is a whole number")
     try:
