Each cluster listens on a loopback address of its own

Ruled out: islands of members (the agent never started). Change: addresses lie on a random host of 127.0.0.0/8 for each launcher, from a counter of ports; outgoing connections use 127.0.0.1.

--- a/pistachioglade/load/_relays.py
+++ b/pistachioglade/load/_relays.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
 import threading
 from collections.abc import Coroutine
 from enum import Enum
+from itertools import count
 from typing import Any, Final, TypeVar
 
 import attrs
@@ -29,12 +31,30 @@
     STALLED = "stalled"
 
 
+def _own_host() -> str:
+    """Return a loopback address that no other process is likely to use."""
+    numbers = [random.SystemRandom().randint(1, 254) for _place in range(3)]
+    return ".".join(map(str, (127, *numbers)))
+
+
+_HOST: Final = _own_host()
+_PORTS: Final = count(20_000)
+
+
 def free_address() -> str:
-    """Return a free loopback address."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = probe.getsockname()[1]
-    return f"127.0.0.1:{port}"
+    """Return a free loopback address, each only once.
+
+    The host is this process's own: a port that is merely free may be taken by
+    somebody else's outgoing connection before it is listened at.
+    """
+    for port in _PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind((_HOST, port))
+            except OSError:
+                continue
+        return f"{_HOST}:{port}"
+    raise OSError("no port is left")
 
 
 @attrs.define(eq=False)
--- /dev/null
+++ b/pistachioglade/load/tests/test_relays.py
@@ -0,0 +1,18 @@
+"""Addresses that a cluster is started on."""
+
+from __future__ import annotations
+
+import socket
+
+from .. import free_address
+
+
+def test_no_address_is_given_twice_nor_lies_where_connections_go_out() -> None:
+    addresses = [free_address() for _turn in range(200)]
+    assert len(set(addresses)) == len(addresses)
+    with (
+        socket.create_server(("127.0.0.1", 0)) as server,
+        socket.create_connection(server.getsockname()) as client,
+    ):
+        outgoing = client.getsockname()[0]
+    assert all(not address.startswith(f"{outgoing}:") for address in addresses)
