--- a/pistachioglade/agent/_instances.py
+++ b/pistachioglade/agent/_instances.py
@@ -8,10 +8,10 @@
 
 import attrs
 
+from ..backing import HttpSession, InstanceList
 from ..blackboard import Blackboard
 from ..config import AgentSettings, EngineSettings
 from ..errors import Refusal
-from ..platform import HttpSession, InstanceList
 from ..telemetry import logger
 from ._facts import INSTANCES, InstanceView
 
--- a/pistachioglade/agent/_ledger.py
+++ b/pistachioglade/agent/_ledger.py
@@ -9,9 +9,9 @@
 import asyncio
 from typing import Any, Final
 
+from ..backing import StoredObject
 from ..controllers import Node
 from ..errors import ErrorKind, Refusal
-from ..platform import StoredObject
 from ..report import StepRecord, pack_step
 from ..telemetry import logger
 
--- a/pistachioglade/agent/_owner_lease.py
+++ b/pistachioglade/agent/_owner_lease.py
@@ -16,11 +16,11 @@
 
 import attrs
 
+from ..backing import StoredObject
 from ..controllers import MEMBERS, Node
 from ..decisions import LeaseObserver
 from ..errors import ErrorKind, Refusal
 from ..messages import MemberState, OwnerIs, structure, unstructure
-from ..platform import StoredObject
 from ..telemetry import logger
 
 _log = logger(__name__)
--- a/pistachioglade/agent/_rollouts.py
+++ b/pistachioglade/agent/_rollouts.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from ..backing import HttpSession
 from ..config import AgentSettings
 from ..controllers import NEWEST, Node
 from ..decisions import VersionPace, is_fresh, will_be_fresh
@@ -25,7 +26,6 @@
     Generate,
     Sample,
 )
-from ..platform import HttpSession
 from ..telemetry import logger
 from ._scheduler import Scheduler, WaitingRollout
 from ._slots import SlotTable
--- a/pistachioglade/agent/_upstream.py
+++ b/pistachioglade/agent/_upstream.py
@@ -15,9 +15,9 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from ..backing import HttpReply, HttpSession
 from ..errors import ErrorKind, Refusal, refuse
 from ..messages import VersionSpan
-from ..platform import HttpReply, HttpSession
 
 _ORDER_TIMEOUT_S: Final = 10.0
 _CANCEL_TIMEOUT_S: Final = 1.0
--- a/pistachioglade/agent/_weights.py
+++ b/pistachioglade/agent/_weights.py
@@ -14,12 +14,12 @@
 
 import attrs
 
+from ..backing import CHUNK_BYTES, WeightStore
 from ..config import AgentSettings, UpstreamKind
 from ..controllers import CONFIG, MEMBERS, NEWEST, ROOT, Node, usable_agents
 from ..decisions import fetch_sources, wave_delay_s
 from ..errors import ErrorKind, Refusal, refuse
 from ..messages import ChunkData, FetchChunk, ModelVersion
-from ..platform import CHUNK_BYTES, WeightStore
 from ..telemetry import logger
 from ._facts import INSTANCES
 from ._instances import InstanceWatcher
--- a/pistachioglade/controllers/_membership.py
+++ b/pistachioglade/controllers/_membership.py
@@ -9,6 +9,7 @@
 from types import MappingProxyType
 from typing import Any, Final
 
+from ..backing import InstanceList
 from ..blackboard import Blackboard
 from ..config import NodeSettings
 from ..decisions import Membership, fingers
@@ -23,7 +24,6 @@
     MemberState,
     RootOffer,
 )
-from ..platform import InstanceList
 from ..telemetry import logger
 from ._facts import MEMBERS
 from ._root import RootController
--- a/pistachioglade/controllers/_node.py
+++ b/pistachioglade/controllers/_node.py
@@ -7,6 +7,7 @@
 from functools import singledispatchmethod
 from typing import Any, Final
 
+from ..backing import InstanceList, ObjectApi, RootStore
 from ..blackboard import Blackboard
 from ..config import NodeSettings, read_secret
 from ..errors import ErrorKind, Refusal, refuse
@@ -22,7 +23,6 @@
     NodeRole,
     RootOffer,
 )
-from ..platform import InstanceList, ObjectApi, RootStore
 from ..telemetry import Metrics, Tracing, logger
 from ._facts import CONFIG, LEAVING
 from ._membership import MembershipController
--- a/pistachioglade/controllers/_root.py
+++ b/pistachioglade/controllers/_root.py
@@ -9,12 +9,12 @@
 from types import MappingProxyType
 from typing import Final
 
+from ..backing import ROOT_PATH, ObjectApi, RootStore, StoredObject
 from ..blackboard import Blackboard
 from ..config import ServiceConfig, config_from_parts, digest_of
 from ..errors import ErrorKind, Refusal, refuse
 from ..links import LinkPool
 from ..messages import FetchRoot, RootSnapshot, RootState
-from ..platform import ROOT_PATH, ObjectApi, RootStore, StoredObject
 from ..telemetry import logger
 from ._facts import CONFIG, NEWEST, ROOT
 
--- a/pistachioglade/controllers/tests/test_membership.py
+++ b/pistachioglade/controllers/tests/test_membership.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from ...backing import Instance
 from ...blackboard import Blackboard
 from ...config import NodeSettings
 from ...errors import ErrorKind, refuse
@@ -18,7 +19,6 @@
     NodeRole,
     RootOffer,
 )
-from ...platform import Instance
 from .._membership import MembershipController
 
 
--- a/pistachioglade/ctl/_client.py
+++ b/pistachioglade/ctl/_client.py
@@ -6,8 +6,8 @@
 
 import attrs
 
+from ..backing import HttpReply, HttpSession
 from ..errors import ErrorKind, Refusal, refuse
-from ..platform import HttpReply, HttpSession
 
 _TIMEOUT_S: Final = 30.0
 
--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -4,15 +4,26 @@
 a :class:`random.Random`.
 """
 
+from ._call_tries import CallPolicy, may_try_again, refusal_wait_s, try_time_s
 from ._choice import CallChooser, Candidate, ChooserSettings
 from ._fairness import FairQueue
 from ._hashing import rendezvous_order, stable_hash
+from ._instance_choice import (
+    InstanceRecord,
+    choose_for_call,
+    choose_for_sample,
+    is_slow,
+    should_move,
+    usual_pace_s,
+)
 from ._keys import Attach, KeyGate, Replay, Run
 from ._lease import LeaseObserver
 from ._membership import BUCKET_COUNT, Membership
 from ._placement import AgentView, GroupHomes, PlacementPolicy, slow_agents
+from ._result_batches import batch_wait_s
 from ._retry import RetryBudget, may_retry
 from ._ring import fingers
+from ._sample_order import PendingSample, start_order
 from ._staleness import VersionPace, hold_s, is_fresh, will_be_fresh
 from ._step import Dispatch, StepPlan, StepPolicy
 from ._transfer import fetch_sources, wave_delay_s
@@ -22,14 +33,17 @@
     "AgentView",
     "Attach",
     "CallChooser",
+    "CallPolicy",
     "Candidate",
     "ChooserSettings",
     "Dispatch",
     "FairQueue",
     "GroupHomes",
+    "InstanceRecord",
     "KeyGate",
     "LeaseObserver",
     "Membership",
+    "PendingSample",
     "PlacementPolicy",
     "Replay",
     "RetryBudget",
@@ -37,14 +51,24 @@
     "StepPlan",
     "StepPolicy",
     "VersionPace",
+    "batch_wait_s",
+    "choose_for_call",
+    "choose_for_sample",
     "fetch_sources",
     "fingers",
     "hold_s",
     "is_fresh",
+    "is_slow",
     "may_retry",
+    "may_try_again",
+    "refusal_wait_s",
     "rendezvous_order",
+    "should_move",
     "slow_agents",
     "stable_hash",
+    "start_order",
+    "try_time_s",
+    "usual_pace_s",
     "wave_delay_s",
     "will_be_fresh",
 ]
--- a/pistachioglade/entry/_usage.py
+++ b/pistachioglade/entry/_usage.py
@@ -11,10 +11,10 @@
 import attrs
 from hdrh.histogram import HdrHistogram
 
+from ..backing import StoredObject
 from ..controllers import Node
 from ..errors import ErrorKind, Refusal
 from ..messages import unstructure
-from ..platform import StoredObject
 from ..report import UsageRecord
 from ..telemetry import logger
 
--- a/pistachioglade/errors/_kinds.py
+++ b/pistachioglade/errors/_kinds.py
@@ -39,6 +39,7 @@
     NOT_OWNER = "not-owner"
     PLATFORM_UNAVAILABLE = "platform-unavailable"
     PLATFORM_UNCERTAIN = "platform-uncertain"
+    HISTORY_GONE = "history-gone"
     UPSTREAM_REJECTED = "upstream-rejected"
     UPSTREAM_LOST = "upstream-lost"
     ANSWER_TRUNCATED = "answer-truncated"
@@ -87,6 +88,7 @@
         ErrorKind.NOT_OWNER: Answer(421, _NOT_RUN, 0.1),
         ErrorKind.PLATFORM_UNAVAILABLE: Answer(503, _NOT_RUN, 5.0),
         ErrorKind.PLATFORM_UNCERTAIN: Answer(503, _UNKNOWN, 5.0),
+        ErrorKind.HISTORY_GONE: Answer(503, _NOT_RUN, 1.0),
         ErrorKind.UPSTREAM_REJECTED: Answer(502, Execution.RAN, None),
         ErrorKind.UPSTREAM_LOST: Answer(502, _UNKNOWN, 1.0),
         ErrorKind.ANSWER_TRUNCATED: Answer(502, _UNKNOWN, 1.0),
--- /dev/null
+++ b/pistachioglade/forwarding/_fleet_view.py
@@ -0,0 +1,128 @@
+"""What one node knows of routes, instances and their conduct."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from ..decisions import InstanceRecord
+from ..errors import Refusal
+from ..fleet import Configuration, Instance
+from ..http1 import Pool
+from ..logs import logger
+from ..platform import Entry, decode_configuration, decode_instance, names
+
+#: Time for which instances that lapsed around an outage of the store stay in use: the
+#: platform says that those that live are back within about two seconds.
+_LAPSE_GRACE_S: Final = 2.2
+#: Time after an outage of the store in which a removal counts as a lapse.
+_OUTAGE_ECHO_S: Final = 3.0
+
+
+class FleetView:
+    """Routes, instances, their connections and their records."""
+
+    def __init__(self, store_trouble_s: Callable[[], float | None]) -> None:
+        self._store_trouble_s = store_trouble_s
+        self._log = logger(__name__)
+        self._lapsed: dict[str, float] = {}
+        # The configuration in force; None before the first.
+        self.configuration: Configuration | None = None
+        # Instances by id.
+        self.instances: dict[str, Instance] = {}
+        # Conduct by id.
+        self.records: dict[str, InstanceRecord] = {}
+        # Kept connections by id.
+        self.pools: dict[str, Pool] = {}
+        # Called after each change.
+        self.on_change: list[Callable[[], None]] = []
+
+    def _now_s(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def take_configuration(self, entry: Entry, is_removed: bool) -> None:
+        """Put a configuration in force, unless it is older or can't be read."""
+        if is_removed or entry.name != names.CONFIGURATION_NAME:
+            return
+        read = decode_configuration(entry.value)
+        if isinstance(read, Refusal):
+            self._log.error("configuration-refused", reason=read.reason)
+            return
+        if self.configuration and self.configuration.version >= read.version:
+            return
+        self.configuration = read
+        self._log.info("configuration-in-force", version=read.version)
+        self._changed()
+
+    def take_instance(self, entry: Entry, is_removed: bool) -> None:
+        """Take an entry of the list of instances, or its removal."""
+        if is_removed:
+            self._removed(entry.name)
+            return
+        read = decode_instance(entry.name, entry.value)
+        if isinstance(read, Refusal):
+            self._log.error("instance-refused", reason=read.reason)
+            return
+        self._lapsed.pop(read.id, None)
+        known = self.instances.get(read.id)
+        self.instances[read.id] = read
+        if known is None:
+            self._log.info("instance-listed", instance=read.id, upstream=read.upstream)
+            self.records[read.id] = InstanceRecord(read.domain, read.slots)
+            self.pools[read.id] = Pool(read.host, read.port)
+        elif read.is_leaving and not known.is_leaving:
+            self._log.info("instance-leaving", instance=read.id)
+        for model, version in read.versions.items():
+            seen = self.records[read.id].versions
+            seen[model] = max(version, seen.get(model, 0))
+        self._changed()
+
+    def _removed(self, instance_id: str) -> None:
+        if instance_id not in self.instances:
+            return
+        trouble_s = self._store_trouble_s()
+        now_s = self._now_s()
+        is_leaving = self.instances[instance_id].is_leaving
+        if trouble_s is not None and now_s - trouble_s < _OUTAGE_ECHO_S:
+            if not is_leaving:
+                self._lapsed.setdefault(instance_id, now_s + _LAPSE_GRACE_S)
+                self._log.info("instance-lapsed", instance=instance_id)
+                return
+        self._forget(instance_id)
+
+    def _forget(self, instance_id: str) -> None:
+        self._log.info("instance-gone", instance=instance_id)
+        self._lapsed.pop(instance_id, None)
+        del self.instances[instance_id]
+        del self.records[instance_id]
+        # Answers that are on their way may still come; idle connections go now.
+        self.pools.pop(instance_id).close_idle()
+        self._changed()
+
+    def expire_lapsed(self) -> None:
+        """Forget lapsed instances that haven't come back in time."""
+        now_s = self._now_s()
+        trouble_s = self._store_trouble_s()
+        for instance_id, until_s in tuple(self._lapsed.items()):
+            if trouble_s is not None and now_s - trouble_s < 1.0:
+                self._lapsed[instance_id] = max(until_s, now_s + _LAPSE_GRACE_S)
+            elif now_s > until_s:
+                self._forget(instance_id)
+
+    def _changed(self) -> None:
+        for callback in self.on_change:
+            callback()
+
+    def open_instances(self, upstream: str) -> Iterator[Instance]:
+        """Return the instances of an upstream that take new requests."""
+        return (
+            item
+            for item in self.instances.values()
+            if item.upstream == upstream and not item.is_leaving
+        )
+
+    def may_send_to(self, instance_id: str) -> bool:
+        """Whether an instance still takes new requests."""
+        found = self.instances.get(instance_id)
+        return found is not None and not found.is_leaving
--- /dev/null
+++ b/pistachioglade/forwarding/_forward.py
@@ -0,0 +1,125 @@
+"""Forwards callers' requests: route, instance, tries within time and budget."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from ..decisions import (
+    CallPolicy,
+    choose_for_call,
+    may_try_again,
+    refusal_wait_s,
+    try_time_s,
+)
+from ..errors import ErrorKind, Refusal, refuse
+from ..fleet import Instance, Route, RouteKind, choose_upstream
+from ..http1 import Request, Response, end_to_end
+from ..logs import logger
+from ..platform import caller_deadline_s
+from ._fleet_view import FleetView
+from ._upstream_call import call_instance
+
+
+@attrs.frozen
+class ForwardedCall:
+    """A request on its way to an upstream."""
+
+    # The caller's request.
+    request: Request
+    # The caller's id of this try.
+    request_id: str
+    # Its route.
+    route: Route
+    # When it has to be answered, in seconds of the monotonic clock.
+    deadline_s: float
+
+
+class Forwarder:
+    """Sends requests to instances."""
+
+    def __init__(self, view: FleetView, domain: str) -> None:
+        self._view = view
+        self._domain = domain
+        self._log = logger(__name__)
+
+    def call_for(
+        self, request: Request, request_id: str, route: Route
+    ) -> ForwardedCall:
+        """Return the call of a request, with the time that it has."""
+        told_s = caller_deadline_s(request.fields)
+        within_s = route.timeout_s if told_s is None else min(told_s, route.timeout_s)
+        return ForwardedCall(request, request_id, route, request.received_s + within_s)
+
+    async def forward(self, call: ForwardedCall) -> Response | Refusal:
+        """Return an instance's answer, or why there is none."""
+        loop = asyncio.get_running_loop()
+        route = call.route
+        upstream = choose_upstream(route, call.request_id)
+        kept = attrs.evolve(call.request, fields=end_to_end(call.request.fields))
+        policy = CallPolicy(
+            route.kind is RouteKind.IDEMPOTENT, route.max_attempts, route.aim_s
+        )
+        tried: list[str] = []
+        may_have_run = False
+        last: Response | Refusal = refuse(ErrorKind.NO_UPSTREAM, "no instance")
+        while True:
+            now_s = loop.time()
+            remaining_s = call.deadline_s - now_s
+            instance = self._choose(upstream, tried)
+            if instance is None or remaining_s <= 0.0:
+                break
+            tried.append(instance.id)
+            time_s = try_time_s(policy, len(tried), remaining_s)
+            last = await call_instance(
+                self._view, instance, kept, call.request_id, time_s
+            )
+            self._log.info(
+                "call-tried",
+                request=call.request_id,
+                route=route.name,
+                instance=instance.id,
+                attempt=len(tried),
+                outcome=last.kind.value if isinstance(last, Refusal) else last.status,
+                reason=last.reason if isinstance(last, Refusal) else "",
+                took_s=round(loop.time() - now_s, 4),
+            )
+            may_have_run |= not (isinstance(last, Refusal) and last.did_not_run)
+            failed = isinstance(last, Refusal) or last.status >= 500
+            remaining_s = call.deadline_s - loop.time()
+            did_not_run = isinstance(last, Refusal) and last.did_not_run
+            if not failed or not may_try_again(
+                policy, len(tried), did_not_run, remaining_s
+            ):
+                break
+        return self._final(last, may_have_run, call, loop.time())
+
+    def _choose(self, upstream: str, tried: list[str]) -> Instance | None:
+        now_s = asyncio.get_running_loop().time()
+        records = [
+            (item.id, self._view.records[item.id])
+            for item in self._view.open_instances(upstream)
+            if item.id not in tried
+        ]
+        chosen = choose_for_call(records, self._domain, now_s)
+        return None if chosen is None else self._view.instances[chosen]
+
+    def _final(
+        self,
+        last: Response | Refusal,
+        may_have_run: bool,
+        call: ForwardedCall,
+        now_s: float,
+    ) -> Response | Refusal:
+        if isinstance(last, Response):
+            return Response(last.status, end_to_end(last.fields), last.body)
+        if may_have_run:
+            kind = (
+                ErrorKind.DEADLINE_EXCEEDED
+                if now_s >= call.deadline_s
+                else ErrorKind.UPSTREAM_LOST
+            )
+            return refuse(kind, last.reason)
+        wait_s = refusal_wait_s(call.route.aim_s)
+        return refuse(ErrorKind.OVERLOADED, last.reason, wait_s)
--- /dev/null
+++ b/pistachioglade/http1/_client.py
@@ -0,0 +1,279 @@
+"""Client connections: one exchange at a time, every framing fault told apart."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from typing import Final
+
+import httptools
+
+from ..errors import ErrorKind, Refusal, refuse
+from ._messages import Fields, Response, ResponseHead, head_bytes
+
+#: Unread bytes of a body at which reading from the peer pauses.
+_HIGH_WATER_BYTES: Final = 512 * 1024
+#: Seconds without an acknowledged byte after which the kernel gives a peer up: under
+#: the 3 s within which a silent connection has to be noticed.
+_SILENCE_MS: Final = 2500
+
+
+class Exchange:
+    """The answer to one request, as it arrives."""
+
+    def __init__(self, connection: ClientConnection) -> None:
+        self._connection = connection
+        self._chunks: deque[bytes] = deque()
+        self._buffered = 0
+        self._waiter: asyncio.Future[None] | None = None
+        # Set once the status line and fields have come.
+        self.response: ResponseHead | None = None
+        # Set when the answer is complete by its own framing.
+        self.is_complete = False
+        # Set when the answer can't become complete any more.
+        self.failure: Refusal | None = None
+        # Whether the answer had a length or chunks, so that its end can be trusted.
+        self.is_framed = True
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def on_head(self, response: ResponseHead, is_framed: bool) -> None:
+        """Take the status line and fields."""
+        self.response = response
+        self.is_framed = is_framed
+        self._wake()
+
+    def on_chunk(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+        self._chunks.append(chunk)
+        self._buffered += len(chunk)
+        if self._buffered > _HIGH_WATER_BYTES:
+            self._connection.pause()
+        self._wake()
+
+    def on_complete(self) -> None:
+        """Take the end of the body."""
+        self.is_complete = True
+        self._wake()
+
+    def on_failure(self, failure: Refusal) -> None:
+        """Take the end of the connection, unless the answer was complete."""
+        if not self.is_complete and self.failure is None:
+            self.failure = failure
+            self._wake()
+
+    async def head(self) -> ResponseHead | Refusal:
+        """Return the status line and fields."""
+        while self.response is None:
+            if self.failure is not None:
+                return self.failure
+            await self._wait()
+        return self.response
+
+    async def read(self) -> bytes | Refusal | None:
+        """Return the next part of the body, None at its end."""
+        while not self._chunks:
+            if self.is_complete:
+                return None
+            if self.failure is not None:
+                return self.failure
+            await self._wait()
+        chunk = self._chunks.popleft()
+        self._buffered -= len(chunk)
+        if self._buffered <= _HIGH_WATER_BYTES:
+            self._connection.resume()
+        return chunk
+
+    async def whole(self) -> Response | Refusal:
+        """Return the whole answer."""
+        head = await self.head()
+        if isinstance(head, Refusal):
+            return head
+        parts: list[bytes] = []
+        while True:
+            chunk = await self.read()
+            if isinstance(chunk, Refusal):
+                return chunk
+            if chunk is None:
+                return Response(head.status, head.fields, b"".join(parts))
+            parts.append(chunk)
+
+    def abort(self) -> None:
+        """Give the exchange up; its connection can't be used again."""
+        if not self.is_complete or not self._connection.is_reusable:
+            self._connection.close()
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a server."""
+
+    def __init__(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._exchange: Exchange | None = None
+        self._fields: list[tuple[str, str]] = []
+        self._is_body_open_ended = False
+        self._may_keep = True
+        # Whether the connection is at an end.
+        self.is_closed = False
+        # Whether any exchange has been completed on it.
+        self.served = 0
+        # When the last answer ended, in seconds of the monotonic clock.
+        self.idle_since_s = 0.0
+        # Seconds for which the server says that it keeps the connection open.
+        self.keep_s: float | None = None
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another exchange may start."""
+        return not self.is_closed and self._may_keep and self._exchange is None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport and have the kernel watch for silence."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        watch_for_silence(transport)
+
+    def pause(self) -> None:
+        """Stop reading from the server."""
+        if self._transport is not None and not self.is_closed:
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self._transport is not None and not self.is_closed:
+            self._transport.resume_reading()
+
+    def start(self, method: str, target: str, fields: Fields, body: bytes) -> Exchange:
+        """Send a request and return the exchange that its answer arrives at."""
+        exchange = Exchange(self)
+        assert self._transport is not None
+        self._exchange = exchange
+        self._fields = []
+        framed = (*fields, ("Content-Length", str(len(body))))
+        head = head_bytes(f"{method} {target} HTTP/1.1", framed)
+        self._transport.write(head + body)
+        return exchange
+
+    def close(self) -> None:
+        """End the connection at once."""
+        if self._transport is not None and not self.is_closed:
+            self._transport.abort()
+        self.is_closed = True
+        self._fail("closed by this side")
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser; bytes that answer nothing end the connection."""
+        if self._exchange is None:
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(f"not HTTP: {error}")
+            self.close()
+
+    def eof_received(self) -> bool:
+        """Let an answer without framing end with its connection."""
+        if self._is_body_open_ended and self._exchange is not None:
+            self._complete()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail what has not been answered in full."""
+        self.is_closed = True
+        self._fail(f"connection lost: {exc}" if exc else "connection closed")
+
+    def _fail(self, reason: str) -> None:
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            exchange.on_failure(refuse(ErrorKind.UPSTREAM_LOST, reason))
+
+    # The parser's callbacks.
+
+    def on_message_begin(self) -> None:
+        """Refuse a second answer in the same bytes."""
+        self._fields = []
+        if self._exchange is None:
+            self._may_keep = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a field."""
+        self._fields.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Hand the head over, unless it is an interim answer."""
+        status = self._parser.get_status_code()
+        if status < 200 or self._exchange is None:
+            return
+        names = {name.lower(): value for name, value in self._fields}
+        is_framed = "content-length" in names or "transfer-encoding" in names
+        self._is_body_open_ended = not is_framed and status not in (204, 304)
+        self._may_keep = self._may_keep and self._parser.should_keep_alive()
+        self._may_keep = self._may_keep and not self._is_body_open_ended
+        self.keep_s = _keep_alive_s(names.get("keep-alive"))
+        self._exchange.on_head(ResponseHead(status, tuple(self._fields)), is_framed)
+
+    def on_body(self, body: bytes) -> None:
+        """Hand a part of the body over."""
+        if self._exchange is not None:
+            self._exchange.on_chunk(body)
+
+    def on_message_complete(self) -> None:
+        """End the exchange."""
+        if self._parser.get_status_code() >= 200:
+            self._complete()
+
+    def _complete(self) -> None:
+        exchange, self._exchange = self._exchange, None
+        self._is_body_open_ended = False
+        self.served += 1
+        self.idle_since_s = asyncio.get_running_loop().time()
+        if exchange is not None:
+            exchange.on_complete()
+
+
+def _keep_alive_s(value: str | None) -> float | None:
+    parts = [part.strip() for part in (value or "").split(",")]
+    found = (part[8:] for part in parts if part.lower().startswith("timeout="))
+    text = next(found, "")
+    return float(text) if text.isdigit() else None
+
+
+def watch_for_silence(transport: asyncio.Transport) -> None:
+    """Have the kernel end a connection whose peer has fallen silent."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _SILENCE_MS)
+
+
+async def open_connection(
+    host: str, port: int, timeout_s: float
+) -> ClientConnection | Refusal:
+    """Connect; a failure says that nothing was sent."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _transport, connection = await loop.create_connection(
+                ClientConnection, host, port
+            )
+    except (OSError, TimeoutError) as error:
+        reason = f"{host}:{port}: {type(error).__name__} {error}"
+        return refuse(ErrorKind.LINK_NOT_OPEN, reason)
+    return connection
--- /dev/null
+++ b/pistachioglade/jobs/_job_run.py
@@ -0,0 +1,238 @@
+"""One job at the node that runs it: its samples, their scores, its results."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from itertools import count
+
+import attrs
+
+from ..decisions import PendingSample, batch_wait_s
+from ..errors import Refusal
+from ..fleet import Item, Job, Result, Route
+from ..logs import logger
+from ..platform import Entry, encode_result
+from ..store import StoreClient
+from ._ledger import JobLedger, JobState
+from ._records import JOB_KIND, Batch, RecordKind, RecordName, encode_batch
+from ._sample_try import SampleText, SampleTry, TryEnd, TryResult
+
+#: Time within which a batch's write is settled before it is tried anew.
+_WRITE_WITHIN_S = 5.0
+
+
+@attrs.define(eq=False)
+class Sample:
+    """An item that this node works on."""
+
+    # The item.
+    item: Item
+    # Its text so far.
+    text: SampleText = attrs.field(factory=SampleText)
+    # Answers of 500 that it got.
+    failures: int = 0
+    # Engine that it was last at.
+    last_instance: str | None = None
+    # The try in progress; None while it waits.
+    running: SampleTry | None = None
+    # Engine of the try in progress.
+    running_at: str | None = None
+    # Whether it waits for an engine.
+    is_waiting: bool = True
+
+
+@attrs.frozen
+class _Finished:
+    # The result.
+    result: Result
+    # Group that it belongs to.
+    group: str
+    # When it was finished, in seconds of the monotonic clock.
+    finished_s: float
+
+
+class JobRun:
+    """Works on one job until it is done, ended or taken over."""
+
+    def __init__(
+        self,
+        state: JobState,
+        job: Job,
+        route: Route,
+        ledger: JobLedger,
+        store: StoreClient,
+        writer: str,
+        due_s: float,
+        give_up_s: float,
+    ) -> None:
+        self.state = state
+        self.job = job
+        self.route = route
+        self.due_s = due_s
+        self.give_up_s = give_up_s
+        self._ledger = ledger
+        self._store = store
+        self._writer = writer
+        self._writes = count(1)
+        self._log = logger(__name__)
+        self._unwritten: list[_Finished] = []
+        self._has_news = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._groups = {group: place for place, group in enumerate(_groups_of(job))}
+        # Samples that have no result, by item.
+        self.samples = {
+            item.id: Sample(item) for item in job.items if item.id not in state.done
+        }
+
+    def start(self) -> None:
+        """Start writing results as they come."""
+        self.spawn(self._write_results())
+
+    def spawn(self, work: Awaitable[None]) -> None:
+        """Run work that ends with the job."""
+
+        async def run() -> None:
+            await work
+
+        task = asyncio.get_running_loop().create_task(run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._report_crash)
+
+    def _report_crash(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error(
+                "job-task-failed", job=self.job.id, exc_info=task.exception()
+            )
+
+    def stop(self) -> None:
+        """Give all work on the job up."""
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    def pending(self) -> list[PendingSample]:
+        """Return the samples that wait for an engine."""
+        open_by_group = Counter(sample.item.group for sample in self.samples.values())
+        return [
+            PendingSample(
+                job_id=self.job.id,
+                item_id=sample.item.id,
+                due_s=self.due_s,
+                is_carried=False,
+                group_open=open_by_group[sample.item.group],
+                group_index=self._groups[sample.item.group],
+                expected_tokens=sample.item.expected_tokens,
+                is_begun=sample.text.last_event is not None,
+            )
+            for sample in self.samples.values()
+            if sample.is_waiting
+        ]
+
+    def homes(self, group: str) -> set[str]:
+        """Return the engines that run samples of a group."""
+        return {
+            sample.running_at
+            for sample in self.samples.values()
+            if sample.running_at is not None and sample.item.group == group
+        }
+
+    def finish(self, sample: Sample, result: Result) -> None:
+        """Queue an item's result for its write."""
+        now_s = asyncio.get_running_loop().time()
+        self.samples.pop(sample.item.id, None)
+        self._unwritten.append(_Finished(result, sample.item.group, now_s))
+        self._has_news.set()
+
+    def give_up(self, sample: Sample, reason: str) -> None:
+        """End an item without its text."""
+        self._log.warning(
+            "item-given-up", job=self.job.id, item=sample.item.id, reason=reason
+        )
+        self.finish(sample, Result(sample.item.id, False))
+
+    def took_try(self, sample: Sample, result: TryResult) -> bool:
+        """Take the end of a try; return whether the text is whole."""
+        sample.running = None
+        sample.running_at = None
+        match result.end:
+            case TryEnd.COMPLETE:
+                return True
+            case TryEnd.IMPOSSIBLE:
+                self.give_up(sample, result.reason)
+            case TryEnd.FAILED:
+                sample.failures += 1
+                if sample.failures >= self.route.max_attempts:
+                    self.give_up(sample, f"{sample.failures} failures")
+        if sample.item.id in self.samples:
+            sample.is_waiting = True
+        return False
+
+    # Writing.
+
+    def _wait_s(self) -> float:
+        open_groups = {sample.item.group for sample in self.samples.values()}
+        whole = len(self._groups) - len(open_groups)
+        waiting_groups = {item.group for item in self._unwritten}
+        has_new_group = bool(waiting_groups - open_groups)
+        is_last = not self.samples
+        return batch_wait_s(whole, self.job.target_groups, has_new_group, is_last)
+
+    async def _write_results(self) -> None:
+        while True:
+            await self._has_news.wait()
+            oldest_s = self._unwritten[0].finished_s
+            now_s = asyncio.get_running_loop().time()
+            wait_s = oldest_s + self._wait_s() - now_s
+            if wait_s > 0.0:
+                await asyncio.sleep(min(wait_s, 0.05))
+                continue
+            await self._write(tuple(self._unwritten))
+            listed = self.state.done
+            self._unwritten = [
+                item for item in self._unwritten if item.result.item_id not in listed
+            ]
+            if not self._unwritten:
+                self._has_news.clear()
+
+    async def _write(self, finished: tuple[_Finished, ...]) -> None:
+        """Write a batch at the next free number; keep trying with the same one."""
+        batch = Batch(
+            f"{self._writer}:{next(self._writes)}",
+            len(self.state.results),
+            tuple(json.dumps(encode_result(item.result)) for item in finished),
+            tuple(item.result.item_id for item in finished),
+        )
+        number = self.state.next_batch
+        name = str(RecordName(self.job.id, RecordKind.BATCH, number))
+        while self.state.next_batch == number:
+            stored = await self._store.create(
+                JOB_KIND, name, encode_batch(batch), _WRITE_WITHIN_S
+            )
+            if isinstance(stored, Entry):
+                self._ledger.take(stored, False)
+                is_own = stored.value["writer"] == batch.writer
+                self._log.info(
+                    "results-listed" if is_own else "results-of-another-node",
+                    job=self.job.id,
+                    batch=number,
+                    results=len(stored.value["results"]),
+                    oldest_age_s=round(
+                        asyncio.get_running_loop().time() - finished[0].finished_s, 3
+                    ),
+                )
+                return
+            assert isinstance(stored, Refusal)
+            self._log.warning(
+                "results-unwritten", job=self.job.id, batch=number, reason=stored.reason
+            )
+
+
+def _groups_of(job: Job) -> list[str]:
+    return list(dict.fromkeys(item.group for item in job.items))
+
+
+#: Called when a sample may start or end somewhere.
+Pump = Callable[[], None]
--- /dev/null
+++ b/pistachioglade/jobs/_ledger.py
@@ -0,0 +1,170 @@
+"""Every job as the store has it, at every node."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from functools import cached_property
+from typing import Final
+
+import attrs
+
+from ..errors import Refusal
+from ..fleet import Job
+from ..logs import logger
+from ..platform import Entry, decode_job
+from ._records import (
+    Batch,
+    RecordKind,
+    RecordName,
+    Submission,
+    decode_batch,
+    decode_submission,
+    parse_name,
+)
+
+#: Largest page of results that a reader gets, under the megabyte that is allowed.
+_PAGE_BYTES: Final = 900_000
+
+
+@attrs.define(slots=False, eq=False)
+class JobState:
+    """One job."""
+
+    # Id of the job.
+    id: str
+    # The submission; None while only later objects have been seen.
+    submission: Submission | None = None
+    # Node that runs it; empty while it is not known.
+    owner: str = ""
+    # Revision of the object that names the owner; 0 for the first owner.
+    owner_revision: int = 0
+    # Whether the trainer has ended it.
+    is_ended: bool = False
+    # Results by position, encoded.
+    results: list[str] = attrs.field(factory=list)
+    # Items that have a result.
+    done: set[str] = attrs.field(factory=set)
+    # Number of the batch that comes next.
+    next_batch: int = 0
+    # Batches that came before their turn.
+    early: dict[int, Batch] = attrs.field(factory=dict)
+    # Readers that wait for results.
+    waiters: set[asyncio.Future[None]] = attrs.field(factory=set)
+
+    @cached_property
+    def job(self) -> Job | Refusal:
+        """The submission, decoded."""
+        assert self.submission is not None
+        sent = self.submission
+        return decode_job(self.id, sent.host, sent.path, sent.fields)
+
+    @cached_property
+    def total(self) -> int:
+        """How many items it has."""
+        return 0 if isinstance(self.job, Refusal) else len(self.job.items)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether items may still run for it."""
+        return (
+            self.submission is not None
+            and not self.is_ended
+            and len(self.done) < self.total
+        )
+
+    def page(self, after: int) -> tuple[str, ...]:
+        """Return the results from a position on, as many as a page holds."""
+        chosen: list[str] = []
+        size = 0
+        for result in self.results[after:]:
+            size += len(result)
+            if chosen and size > _PAGE_BYTES:
+                break
+            chosen.append(result)
+        return tuple(chosen)
+
+    async def wait_for_more(self, after: int, within_s: float) -> None:
+        """Wait until a result stands at a position, or time is up."""
+        if len(self.results) > after or within_s <= 0.0:
+            return
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters.add(waiter)
+        try:
+            async with asyncio.timeout(within_s):
+                await waiter
+        except TimeoutError:
+            return
+        finally:
+            self.waiters.discard(waiter)
+
+    def wake(self) -> None:
+        """Let readers look again."""
+        for waiter in self.waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+
+class JobLedger:
+    """Builds the jobs from the objects of the store."""
+
+    def __init__(self) -> None:
+        self._log = logger(__name__)
+        # Jobs by id.
+        self.jobs: dict[str, JobState] = {}
+        # Called with each job that has changed.
+        self.on_change: list[Callable[[JobState], None]] = []
+
+    def find(self, job_id: str) -> JobState | None:
+        """Return a job whose submission is known."""
+        state = self.jobs.get(job_id)
+        return state if state is not None and state.submission is not None else None
+
+    def take(self, entry: Entry, is_removed: bool) -> None:
+        """Take an object, or its removal."""
+        name = parse_name(entry.name)
+        if name is None:
+            self._log.error("job-record-unknown", name=entry.name)
+            return
+        if is_removed:
+            self._removed(name)
+            return
+        state = self.jobs.setdefault(name.job_id, JobState(name.job_id))
+        try:
+            self._apply(state, name, entry)
+        except (KeyError, TypeError, ValueError) as error:
+            self._log.error("job-record-unreadable", name=entry.name, reason=str(error))
+            return
+        for callback in self.on_change:
+            callback(state)
+
+    def _removed(self, name: RecordName) -> None:
+        if name.kind is RecordKind.SUBMISSION:
+            self.jobs.pop(name.job_id, None)
+
+    def _apply(self, state: JobState, name: RecordName, entry: Entry) -> None:
+        match name.kind:
+            case RecordKind.SUBMISSION:
+                state.submission = decode_submission(entry.value)
+                state.owner = state.owner or state.submission.owner
+            case RecordKind.OWNER:
+                if entry.revision > state.owner_revision:
+                    state.owner = entry.value["owner"]
+                    state.owner_revision = entry.revision
+            case RecordKind.END:
+                state.is_ended = True
+            case RecordKind.BATCH:
+                state.early[name.batch] = decode_batch(entry.value)
+                self._append(state)
+
+    def _append(self, state: JobState) -> None:
+        while (batch := state.early.pop(state.next_batch, None)) is not None:
+            state.next_batch += 1
+            state.results.extend(batch.results)
+            state.done.update(batch.item_ids)
+        state.early = {
+            number: batch
+            for number, batch in state.early.items()
+            if number >= state.next_batch
+        }
+        state.wake()
--- /dev/null
+++ b/pistachioglade/jobs/_sample_try.py
@@ -0,0 +1,243 @@
+"""One try of a sample at one engine: its events, told apart from everything else."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import Final
+
+import attrs
+
+from ..errors import Refusal
+from ..fleet import Instance, Item
+from ..forwarding import FleetView
+from ..http1 import ClientConnection, Exchange, ResponseHead
+from ..platform import (
+    belongs_to,
+    did_not_run,
+    instance_load,
+    request_fields,
+    resume_fields,
+    weight_version,
+)
+from ._event_stream import EventDecoder, SampleEvent
+
+#: Time without an event after which a stream is taken up elsewhere: a load of weights
+#: halts an engine for 0.9 s, and for twice that while many load.
+SILENCE_S: Final = 2.5
+#: Time for the head of an answer: the engine's queue and the same halt.
+_HEAD_S: Final = 3.0
+
+
+class TryEnd(Enum):
+    """How a try ended."""
+
+    # The text is whole.
+    COMPLETE = "complete"
+    # The engine did not run it.
+    NOT_RUN = "not-run"
+    # The stream broke; what came of it is kept.
+    BROKEN = "broken"
+    # The engine failed it, after running it.
+    FAILED = "failed"
+    # It can never be done.
+    IMPOSSIBLE = "impossible"
+    # The engine's weights are older than the job allows.
+    TOO_OLD = "too-old"
+    # It was taken off the engine on purpose.
+    MOVED = "moved"
+
+
+@attrs.frozen
+class TryResult:
+    """The end of a try and what it was due to."""
+
+    # How it ended.
+    end: TryEnd
+    # Why, for a person to read.
+    reason: str = ""
+
+
+@attrs.define
+class SampleText:
+    """What has been made of a sample."""
+
+    # Data of its events in order.
+    parts: list[str] = attrs.field(factory=list)
+    # Number of the last event; None before the first.
+    last_event: int | None = None
+    # Weight versions that made an event of it.
+    versions: set[int] = attrs.field(factory=set)
+
+    def clear(self) -> None:
+        """Forget the text, to start anew."""
+        self.parts.clear()
+        self.last_event = None
+        self.versions.clear()
+
+    @property
+    def whole(self) -> str:
+        """The data of all events, separated by line feeds."""
+        return "\n".join(self.parts)
+
+
+class SampleTry:
+    """Runs an item at one engine and adds to its text."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        instance: Instance,
+        item: Item,
+        text: SampleText,
+        min_version: int,
+        model: str,
+    ) -> None:
+        self._view = view
+        self._instance = instance
+        self._record = view.records[instance.id]
+        self._item = item
+        self._text = text
+        self._min_version = min_version
+        self._model = model
+        self._version: int | None = None
+        self._event_s: float | None = None
+        # Set to take the sample off this engine.
+        self.is_unwanted = False
+        self._exchange: Exchange | None = None
+
+    async def run(self, host: str, time_left_s: float) -> TryResult:
+        """Run to the end of the stream, or to what ends it sooner."""
+        self._record.outstanding += 1
+        connection: ClientConnection | Refusal | None = None
+        pool = self._view.pools[self._instance.id]
+        try:
+            connection = await pool.acquire()
+            if isinstance(connection, Refusal):
+                return self._fault(TryResult(TryEnd.NOT_RUN, connection.reason))
+            self._exchange = self._send(connection, host, time_left_s)
+            result = await self._receive(self._exchange)
+            if result.end is not TryEnd.COMPLETE:
+                self._exchange.abort()
+            return self._fault(result)
+        except BaseException:
+            if isinstance(connection, ClientConnection):
+                connection.close()
+            raise
+        finally:
+            self._record.outstanding -= 1
+            if isinstance(connection, ClientConnection):
+                pool.release(connection)
+
+    def move(self) -> None:
+        """Take the sample off this engine; its text is kept."""
+        self.is_unwanted = True
+        if self._exchange is not None:
+            self._exchange.abort()
+
+    def _fault(self, result: TryResult) -> TryResult:
+        if self.is_unwanted and result.end is TryEnd.BROKEN:
+            return TryResult(TryEnd.MOVED, result.reason)
+        if result.end is TryEnd.BROKEN or (
+            result.end is TryEnd.NOT_RUN and "refused" not in result.reason
+        ):
+            self._record.failed(asyncio.get_running_loop().time())
+        elif result.end is TryEnd.COMPLETE:
+            self._record.answered()
+        return result
+
+    def _send(
+        self, connection: ClientConnection, host: str, time_left_s: float
+    ) -> Exchange:
+        item = self._item
+        last = self._text.last_event
+        resumed = () if last is None else resume_fields(last)
+        fields = (("Host", host), *item.fields, *resumed)
+        sent = request_fields(fields, self._instance.id, time_left_s, item.id)
+        return connection.start("POST", item.path, sent, item.body)
+
+    async def _receive(self, exchange: Exchange) -> TryResult:
+        try:
+            async with asyncio.timeout(_HEAD_S):
+                head = await exchange.head()
+        except TimeoutError:
+            return TryResult(TryEnd.BROKEN, f"no head in {_HEAD_S} s")
+        if isinstance(head, Refusal):
+            return TryResult(TryEnd.BROKEN, head.reason)
+        self._note_load(head)
+        judged = self._judge(head)
+        return judged or await self._read_events(exchange)
+
+    def _note_load(self, head: ResponseHead) -> None:
+        load = instance_load(head)
+        if load is not None:
+            now_s = asyncio.get_running_loop().time()
+            self._record.told_load(load.running, load.waiting, now_s)
+
+    def _judge(self, head: ResponseHead) -> TryResult | None:
+        if did_not_run(head):
+            return TryResult(TryEnd.NOT_RUN, f"refused with {head.status}")
+        if not belongs_to(head, self._item.id):
+            return TryResult(TryEnd.BROKEN, "an answer to another request")
+        if head.status == 422:
+            return TryResult(TryEnd.IMPOSSIBLE, "422")
+        if head.status == 500:
+            return TryResult(TryEnd.FAILED, "500")
+        if head.status != 200:
+            return TryResult(TryEnd.BROKEN, f"answered {head.status}")
+        self._version = weight_version(head)
+        if self._version is not None:
+            self._record.versions[self._model] = self._version
+            if self._version < self._min_version:
+                return TryResult(TryEnd.TOO_OLD, f"version {self._version}")
+        return None
+
+    async def _read_events(self, exchange: Exchange) -> TryResult:
+        decoder = EventDecoder()
+        while True:
+            try:
+                async with asyncio.timeout(SILENCE_S):
+                    chunk = await exchange.read()
+            except TimeoutError:
+                return TryResult(TryEnd.BROKEN, f"no event in {SILENCE_S} s")
+            if isinstance(chunk, Refusal):
+                return TryResult(TryEnd.BROKEN, chunk.reason)
+            if chunk is None:
+                return self._ended(exchange, decoder)
+            events = decoder.feed(chunk)
+            if events is None:
+                return TryResult(TryEnd.BROKEN, "bytes that are no events")
+            for event in events:
+                fault = self._add(event)
+                if fault is not None:
+                    return fault
+
+    def _ended(self, exchange: Exchange, decoder: EventDecoder) -> TryResult:
+        if not exchange.is_framed or not decoder.is_between_events:
+            return TryResult(TryEnd.BROKEN, "the stream's end can't be trusted")
+        if self._text.last_event is None:
+            return TryResult(TryEnd.BROKEN, "a stream without events")
+        return TryResult(TryEnd.COMPLETE)
+
+    def _add(self, event: SampleEvent) -> TryResult | None:
+        text = self._text
+        if text.last_event is not None and event.number != text.last_event + 1:
+            reason = f"event {event.number} after {text.last_event}"
+            return TryResult(TryEnd.BROKEN, reason)
+        if event.version is not None:
+            self._version = event.version
+            self._record.versions[self._model] = event.version
+        if self._version is not None and self._version < self._min_version:
+            return TryResult(TryEnd.TOO_OLD, f"version {self._version}")
+        self._pace(event)
+        text.parts.append(event.data)
+        text.last_event = event.number
+        if self._version is not None:
+            text.versions.add(self._version)
+        return None
+
+    def _pace(self, event: SampleEvent) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if self._event_s is not None:
+            self._record.paced(now_s - self._event_s, now_s)
+        self._event_s = now_s
--- a/pistachioglade/load/_cluster.py
+++ b/pistachioglade/load/_cluster.py
@@ -20,9 +20,9 @@
 import attrs
 import yaml
 
+from ..backing import HttpReply, HttpSession
 from ..config import UpstreamKind
 from ..errors import Refusal
-from ..platform import HttpReply, HttpSession
 from ._deployment import Deployment, UpstreamPlan
 from ._relays import Relays, free_address
 
--- a/pistachioglade/load/_compare.py
+++ b/pistachioglade/load/_compare.py
@@ -16,8 +16,8 @@
 import click
 from hdrh.histogram import HdrHistogram
 
+from ..backing import HttpReply
 from ..config import ServiceConfig, UpstreamKind, check_document
-from ..platform import HttpReply
 from ._checks import (
     TrainerOutcome,
     check_at_most_once,
--- a/pistachioglade/load/_experiments.py
+++ b/pistachioglade/load/_experiments.py
@@ -19,8 +19,8 @@
 import attrs
 import yaml
 
+from ..backing import HttpReply
 from ..config import ServiceConfig, UpstreamKind, check_document
-from ..platform import HttpReply
 from ._cluster import Cluster, ClusterError, start_cluster, token_of
 from ._compare import percentile_s
 from ._demo import make_trainers
--- a/pistachioglade/load/_fault_run.py
+++ b/pistachioglade/load/_fault_run.py
@@ -15,9 +15,9 @@
 import attrs
 import click
 
+from ..backing import HttpReply, ObjectApi
 from ..config import ServiceConfig, UpstreamKind, check_document
 from ..errors import Refusal
-from ..platform import HttpReply, ObjectApi
 from ..report import StepRecord, unpack_step
 from ._checks import (
     SeenGeneration,
--- a/pistachioglade/load/_lookups.py
+++ b/pistachioglade/load/_lookups.py
@@ -13,8 +13,8 @@
 
 import attrs
 
+from ..backing import HttpReply, HttpSession
 from ..errors import Refusal
-from ..platform import HttpReply, HttpSession
 from ._cluster import token_of
 from ._deployment import CallerPlan
 
--- a/pistachioglade/load/_trainers.py
+++ b/pistachioglade/load/_trainers.py
@@ -9,10 +9,10 @@
 
 import attrs
 
+from ..backing import HttpReply, HttpSession
 from ..config import Trainer
 from ..errors import Refusal
 from ..messages import Group, Sample
-from ..platform import HttpReply, HttpSession
 from ..trainer import (
     OpenedStep,
     ServiceError,
--- /dev/null
+++ b/pistachioglade/platform/_objects.py
@@ -0,0 +1,174 @@
+"""The store's calls and answers: objects with revisions, lists and watches."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, Final
+from urllib.parse import quote
+
+import attrs
+
+from ..errors import ErrorKind, Refusal, refuse
+from ..http1 import Response
+
+_ROOT: Final = "/v1/objects"
+
+
+@attrs.frozen
+class Entry:
+    """An object of the store."""
+
+    # Name, unique in its kind.
+    name: str
+    # Revision of its last change.
+    revision: int
+    # Value.
+    value: Any
+    # What is said of the value by whoever acts on it; None if nothing is.
+    status: Any
+
+
+@attrs.frozen
+class EntryPage:
+    """A part of the list of a kind."""
+
+    # Objects by name.
+    entries: tuple[Entry, ...]
+    # Whether more follow behind the last name.
+    has_more: bool
+    # Revision of the store that the page shows.
+    revision: int
+
+
+@attrs.frozen
+class EntryChange:
+    """A change that a watch tells."""
+
+    # The object, as it is now or as it was.
+    entry: Entry
+    # Whether it was removed.
+    is_removed: bool
+
+
+@attrs.frozen
+class EntryChanges:
+    """The answer of a watch."""
+
+    # Changes in their order.
+    changes: tuple[EntryChange, ...]
+    # Revision from which to watch on.
+    revision: int
+
+
+@attrs.frozen
+class StoreCall:
+    """One call to the store, as it goes on the wire."""
+
+    # HTTP method.
+    method: str
+    # Path and query.
+    target: str
+    # Body; empty for reads.
+    body: bytes = b""
+
+
+def _path(kind: str, name: str) -> str:
+    return f"{_ROOT}/{quote(kind)}/{quote(name, safe='')}"
+
+
+def read_call(kind: str, name: str) -> StoreCall:
+    """Read one object."""
+    return StoreCall("GET", _path(kind, name))
+
+
+def list_call(kind: str, after: str) -> StoreCall:
+    """Read the objects whose names follow ``after``."""
+    query = f"?after={quote(after, safe='')}" if after else ""
+    return StoreCall("GET", f"{_ROOT}/{quote(kind)}{query}")
+
+
+def watch_call(kind: str, revision: int, wait_s: float) -> StoreCall:
+    """Wait for changes behind a revision."""
+    query = f"watch={revision}&wait-timeout-ms={int(wait_s * 1000)}"
+    return StoreCall("GET", f"{_ROOT}/{quote(kind)}?{query}")
+
+
+def create_call(kind: str, name: str, value: Any) -> StoreCall:
+    """Create an object; refused if there is one of that name."""
+    body = {"metadata": {"name": name}, "specification": value}
+    return StoreCall("POST", f"{_ROOT}/{quote(kind)}", json.dumps(body).encode())
+
+
+def replace_call(kind: str, name: str, value: Any, revision: int) -> StoreCall:
+    """Replace an object that still has a revision."""
+    body = {"metadata": {"name": name, "revision": revision}, "specification": value}
+    return StoreCall("PUT", _path(kind, name), json.dumps(body).encode())
+
+
+def status_call(kind: str, name: str, status: Any) -> StoreCall:
+    """Replace the status of an object."""
+    body = {"metadata": {"name": name}, "status": status}
+    return StoreCall("PUT", f"{_path(kind, name)}/status", json.dumps(body).encode())
+
+
+def delete_call(kind: str, name: str, revision: int | None) -> StoreCall:
+    """Remove an object, if it still has a revision where one is given."""
+    query = f"?revision={revision}" if revision is not None else ""
+    return StoreCall("DELETE", _path(kind, name) + query)
+
+
+def decode_entry(fields: Any) -> Entry:
+    """Return the object in a call's answer."""
+    metadata = fields["metadata"]
+    return Entry(
+        metadata["name"],
+        int(metadata.get("revision", 0)),
+        fields.get("specification"),
+        fields.get("status"),
+    )
+
+
+def decode_page(body: bytes) -> EntryPage:
+    """Return a page of a list."""
+    fields = json.loads(body)
+    entries = tuple(decode_entry(item) for item in fields["items"])
+    return EntryPage(entries, bool(fields["has-more"]), int(fields["at"]))
+
+
+def decode_changes(body: bytes) -> EntryChanges:
+    """Return what a watch tells."""
+    fields = json.loads(body)
+    changes = tuple(
+        EntryChange(decode_entry(item["object"]), bool(item.get("deleted")))
+        for item in fields["events"]
+    )
+    return EntryChanges(changes, int(fields["at"]))
+
+
+def refusal_of(answer: Response, is_write: bool) -> Refusal | None:
+    """Return why a call was refused; None if it was carried out."""
+    status = answer.status
+    reason = f"store answered {status}"
+    if status < 300:
+        return None
+    if status == 404:
+        return refuse(ErrorKind.NOT_FOUND, reason)
+    if status == 409:
+        return refuse(ErrorKind.CONFLICT, reason)
+    if status == 410:
+        return refuse(ErrorKind.HISTORY_GONE, reason)
+    if status == 413:
+        return refuse(ErrorKind.TOO_LARGE, reason)
+    if status in (429, 503) or not is_write:
+        return refuse(ErrorKind.PLATFORM_UNAVAILABLE, reason)
+    return refuse(ErrorKind.PLATFORM_UNCERTAIN, reason)
+
+
+def encode_retirement(is_completed: bool) -> dict[str, str]:
+    """Return the status of a request to empty a machine."""
+    return {"state": "completed" if is_completed else "running"}
+
+
+def is_retirement_open(status: Any) -> bool:
+    """Whether a request to empty a machine still waits for its end."""
+    return not (isinstance(status, dict) and status.get("state") == "completed")
--- /dev/null
+++ b/pistachioglade/platform/_settings.py
@@ -0,0 +1,144 @@
+"""The settings file that the platform writes for a process."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Final
+
+import attrs
+
+from ..errors import ErrorKind, Refusal, refuse
+
+#: Environment variable that holds the path of the settings file.
+SETTINGS_VARIABLE: Final = "PISTACHIOGLADE_CONFIG"
+
+
+@attrs.frozen
+class Address:
+    """Where a process listens or is reached."""
+
+    # IP address.
+    host: str
+    # TCP port.
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@attrs.frozen
+class ProcessSettings:
+    """What a process is told at its start."""
+
+    # Name of the machine that it runs on.
+    node: str
+    # IP address of the machine.
+    host: str
+    # Failure domain.
+    domain: str
+    # Where callers connect; None if they don't.
+    callers: Address | None
+    # Where readiness is asked; None if it isn't.
+    readiness: Address | None
+    # First port that the system's own processes may use among themselves.
+    internal_port: int
+    # Last such port.
+    last_internal_port: int
+    # The store.
+    store: Address
+    # Model engine on the same machine; None elsewhere.
+    engine: Address | None
+    # Interval at which instances renew their entries, in seconds.
+    heartbeat_s: float
+    # Time after an outage within which instances are back in the list, in seconds.
+    drain_s: float
+    # Time between SIGTERM and SIGKILL, in seconds.
+    grace_s: float
+    # Time within which a change of configuration has to be in force, in seconds.
+    config_apply_s: float
+    # Time for which a job's results are kept after its submission, in seconds.
+    result_retention_s: float
+    # Largest object of the store, in bytes.
+    max_object_bytes: int
+    # Share of a core that the machine gives.
+    cpu_share: float
+    # Memory of the machine, in megabytes.
+    memory_mb: int
+
+
+def load_settings(path: Path) -> ProcessSettings | Refusal:
+    """Read and check a settings file; a fault names its file and field."""
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        return refuse(ErrorKind.BAD_REQUEST, f"{path}: {error}")
+    pairs = (line.partition("=") for line in text.splitlines() if "=" in line)
+    fields = {name.strip(): value.strip() for name, _, value in pairs}
+    try:
+        return _decode(fields)
+    except _FieldError as error:
+        return refuse(ErrorKind.BAD_REQUEST, f"{path}: {error}")
+
+
+class _FieldError(ValueError):
+    """A field that is missing or has a wrong value."""
+
+
+def _decode(fields: Mapping[str, str]) -> ProcessSettings:
+    first_port, _, last_port = _text(fields, "internal-port-range").partition(",")
+    return ProcessSettings(
+        node=_text(fields, "node-name"),
+        host=_text(fields, "ip-address"),
+        domain=_text(fields, "zone"),
+        callers=_address(fields, "listen.frontend"),
+        readiness=_address(fields, "listen.ready"),
+        internal_port=_whole("internal-port-range", first_port),
+        last_internal_port=_whole("internal-port-range", last_port),
+        store=_needed_address(fields, "platform.address"),
+        engine=_address(fields, "app"),
+        heartbeat_s=_number(fields, "heartbeat-interval-ms") / 1000.0,
+        drain_s=_number(fields, "bounds.drain-timeout-ms") / 1000.0,
+        grace_s=_number(fields, "bounds.grace-period-s"),
+        config_apply_s=_number(fields, "bounds.config-apply-ms") / 1000.0,
+        result_retention_s=_number(fields, "bounds.status-retention-s"),
+        max_object_bytes=int(_number(fields, "platform.max-value-bytes")),
+        cpu_share=_number(fields, "limits.cpu-share"),
+        memory_mb=int(_number(fields, "limits.memory-mb")),
+    )
+
+
+def _text(fields: Mapping[str, str], name: str) -> str:
+    value = fields.get(name, "")
+    if not value:
+        raise _FieldError(f"{name}: missing")
+    return value
+
+
+def _whole(name: str, text: str) -> int:
+    if not text.isdigit():
+        raise _FieldError(f"{name}: {text!r} is not a whole number")
+    return int(text)
+
+
+def _number(fields: Mapping[str, str], name: str) -> float:
+    text = _text(fields, name)
+    try:
+        return float(text)
+    except ValueError:
+        raise _FieldError(f"{name}: {text!r} is not a number") from None
+
+
+def _address(fields: Mapping[str, str], name: str) -> Address | None:
+    text = fields.get(name, "")
+    if not text:
+        return None
+    host, _, port = text.rpartition(":")
+    return Address(host, _whole(name, port))
+
+
+def _needed_address(fields: Mapping[str, str], name: str) -> Address:
+    address = _address(fields, name)
+    if address is None:
+        raise _FieldError(f"{name}: missing")
+    return address
--- a/pistachioglade/platform/tests/__init__.py
+++ b/pistachioglade/platform/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the platform clients, with fakes behind them."""
+"""Tests."""
--- a/pistachioglade/report/_build.py
+++ b/pistachioglade/report/_build.py
@@ -11,10 +11,10 @@
 import attrs
 from hdrh.histogram import HdrHistogram
 
+from ..backing import ObjectApi
 from ..config import ServiceConfig
 from ..errors import Refusal
 from ..messages import Receipt, structure
-from ..platform import ObjectApi
 from ._records import StepRecord, UsageRecord, unpack_step
 
 #: Upper edges of the lateness histogram.
--- /dev/null
+++ b/pistachioglade/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The programs that serve callers, engines and the storage machines."""
--- /dev/null
+++ b/pistachioglade/serving/__main__.py
@@ -0,0 +1,61 @@
+"""Starts one of the serving programs: ``python3 -m pistachioglade.serving ROLE``.
+
+Plain arguments instead of click: the process starts again at every restart of its
+machine, and click alone would take a sixth of the time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from types import MappingProxyType
+from typing import Final
+
+from ..errors import Refusal
+from ..logs import configure_bounded_logs
+from ..platform import SETTINGS_VARIABLE, load_settings
+
+#: Exit status for wrong usage or settings.
+_USAGE: Final = 2
+_ROLES: Final = MappingProxyType(
+    {
+        "entry": ("_entry_program", "EntryProgram"),
+        "engine": ("_engine_program", "EngineProgram"),
+        "storage": ("_storage_program", "StorageProgram"),
+    }
+)
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Run a role until it is stopped; return the exit status."""
+    if len(arguments) != 1 or arguments[0] not in _ROLES:
+        roles = ", ".join(_ROLES)
+        print(f"usage: python3 -m pistachioglade.serving ROLE ({roles})")
+        return _USAGE
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        print(f"{SETTINGS_VARIABLE}: not set", file=sys.stderr)
+        return _USAGE
+    settings = load_settings(Path(path))
+    if isinstance(settings, Refusal):
+        print(settings.reason, file=sys.stderr)
+        return _USAGE
+    configure_bounded_logs(settings.node, arguments[0])
+    asyncio.run(_run(arguments[0], settings))
+    return 0
+
+
+async def _run(role: str, settings: object) -> None:
+    # Each role imports what it needs and no more: memory is paid for.
+    from importlib import import_module
+
+    module, name = _ROLES[role]
+    program = getattr(import_module(f".{module}", __package__), name)
+    await program(settings).run()
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/pistachioglade/serving/_engine_program.py
@@ -0,0 +1,134 @@
+"""The program beside a model engine: the only one that gives it orders.
+
+With one holder an engine there is no lease to wait for and no turn to take: a process
+that starts again is the same holder, and a new machine comes with a new engine.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import Final
+
+from ..errors import ErrorKind, Refusal, refuse
+from ..http1 import Pool, Response
+from ..logs import logger
+from ..platform import (
+    EngineState,
+    Entry,
+    ProcessSettings,
+    decode_engine_state,
+    decode_version,
+    encode_weight_order,
+    names,
+)
+from ..store import Mirror, StoreClient
+
+#: Fencing token of this holder: there is never another one.
+_FENCE: Final = 1
+#: Time for one call to the engine on the same machine.
+_CALL_TIMEOUT_S: Final = 1.0
+#: Time between two looks at an engine that is behind or being loaded.
+_LOOK_S: Final = 0.2
+#: Time between two looks at an engine that is up to date; an engine that restarted
+#: behind an order shows itself by then. A report on its own machine is free.
+_IDLE_LOOK_S: Final = 2.0
+
+
+class EngineProgram:
+    """Keeps one engine's weights at the versions that the trainers have named."""
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        assert settings.engine is not None
+        self._settings = settings
+        self._log = logger(__name__)
+        self._engine = Pool(settings.engine.host, settings.engine.port)
+        self._host = (("Host", str(settings.engine)),)
+        self._store = StoreClient(settings.store.host, settings.store.port)
+        self._versions = Mirror(self._store, names.VERSION_KIND, self._take_version)
+        self._wanted: dict[str, int] = {}
+        self._has_news = asyncio.Event()
+
+    def _take_version(self, entry: Entry, is_removed: bool) -> None:
+        named = decode_version(entry.value)
+        if isinstance(named, Refusal):
+            self._log.error("version-refused", reason=named.reason)
+            return
+        model, version = named
+        if not is_removed and version > self._wanted.get(model, 0):
+            self._wanted[model] = version
+            self._log.info("version-named", model=model, version=version)
+            self._has_news.set()
+
+    async def run(self) -> None:
+        """Follow the trainers until SIGTERM."""
+        loop = asyncio.get_running_loop()
+        is_leaving = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, is_leaving.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        tasks = [
+            loop.create_task(self._versions.run()),
+            loop.create_task(self._follow()),
+        ]
+        self._log.info("started", program="engine", engine=str(self._settings.engine))
+        await is_leaving.wait()
+        for task in tasks:
+            task.cancel()
+        self._log.info("stopped", program="engine")
+
+    def _reload(self) -> None:
+        self._log.info("reload", program="engine")
+
+    async def _follow(self) -> None:
+        while True:
+            is_current = await self._look()
+            self._has_news.clear()
+            try:
+                async with asyncio.timeout(_IDLE_LOOK_S if is_current else _LOOK_S):
+                    await self._has_news.wait()
+            except TimeoutError:
+                continue
+
+    async def _look(self) -> bool:
+        """Bring the engine one step nearer; return whether it is up to date."""
+        state = await self._state()
+        if isinstance(state, Refusal):
+            self._log.warning("engine-unreadable", reason=state.reason)
+            return False
+        behind = [
+            (model, version)
+            for model, version in self._wanted.items()
+            if state.versions.get(model, version) < version
+        ]
+        if not behind:
+            return True
+        if not state.is_busy:
+            await self._order(state, *behind[0])
+        return False
+
+    async def _state(self) -> EngineState | Refusal:
+        answer = await self._call("GET", names.ENGINE_STATE_PATH, b"")
+        return answer if isinstance(answer, Refusal) else decode_engine_state(answer)
+
+    async def _call(self, method: str, target: str, body: bytes) -> Response | Refusal:
+        try:
+            return await self._engine.request(
+                method, target, self._host, body, _CALL_TIMEOUT_S
+            )
+        except TimeoutError:
+            reason = f"engine gave no answer in {_CALL_TIMEOUT_S} s"
+            return refuse(ErrorKind.UPSTREAM_LOST, reason)
+
+    async def _order(self, state: EngineState, model: str, version: int) -> None:
+        order = encode_weight_order(
+            model, version, False, self._settings.node, _FENCE, state.orders
+        )
+        answer = await self._call("POST", names.ENGINE_ORDER_PATH, order)
+        self._log.info(
+            "weights-ordered",
+            model=model,
+            version=version,
+            had=state.versions.get(model),
+            orders_seen=state.orders,
+            outcome=answer.reason if isinstance(answer, Refusal) else answer.status,
+        )
--- /dev/null
+++ b/pistachioglade/serving/_entry_program.py
@@ -0,0 +1,141 @@
+"""The program in front of callers: composition root and life of the process."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import signal
+from collections.abc import Awaitable
+from typing import Final
+
+import attrs
+
+from ..forwarding import FleetView, Forwarder
+from ..http1 import HttpServer, Reply, Request, Response, ServerLimits
+from ..jobs import JOB_KIND, JobLedger, JobOwner
+from ..logs import logger
+from ..platform import ProcessSettings, names
+from ..store import Mirror, StoreClient
+from ._ingress import Ingress
+from ._job_calls import JobCalls
+
+#: Time between two looks at idle connections and lapsed instances.
+_HOUSEKEEPING_S: Final = 0.25
+#: Time after a stop's begin until idle connections are closed: the platform has taken
+#: the node out of rotation after two missed questions, one a second.
+_ROTATION_S: Final = 2.3
+#: Part of the grace period after which a stop no longer waits for requests.
+_GRACE_PART: Final = 0.8
+
+
+class EntryProgram:
+    """One entry."""
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self._settings = settings
+        self._log = logger(__name__)
+        self._store = StoreClient(settings.store.host, settings.store.port)
+        self._view = FleetView(lambda: self._store.trouble_s)
+        self._forwarder = Forwarder(self._view, settings.domain)
+        self._ledger = JobLedger()
+        self._owner = JobOwner(
+            settings.node,
+            secrets.token_hex(4),
+            self._view,
+            self._ledger,
+            self._store,
+            self._forwarder,
+        )
+        calls = JobCalls(settings.node, self._ledger, self._store)
+        ingress = Ingress(self._view, self._forwarder, calls)
+        self._callers = HttpServer(ingress.handle, ServerLimits())
+        self._readiness = HttpServer(self._answer_readiness, ServerLimits())
+        self._configurations = Mirror(
+            self._store, names.CONFIGURATION_KIND, self._view.take_configuration
+        )
+        self._instances = Mirror(
+            self._store, names.INSTANCE_KIND, self._view.take_instance
+        )
+        self._jobs = Mirror(self._store, JOB_KIND, self._ledger.take)
+        self._view.on_change.append(self._take_limits)
+        self._view.on_change.append(self._owner.reconcile_all)
+        self._is_leaving = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return (
+            not self._is_leaving.is_set()
+            and self._view.configuration is not None
+            and self._instances.is_synced.is_set()
+            and self._jobs.is_synced.is_set()
+        )
+
+    async def _answer_readiness(self, request: Request, reply: Reply) -> None:
+        is_asked = request.path == names.READINESS_PATH
+        status = (200 if self.is_ready else 503) if is_asked else 404
+        reply.send(Response(status))
+
+    def _take_limits(self) -> None:
+        configuration = self._view.configuration
+        if configuration is not None:
+            limits = configuration.limits
+            self._callers.limits = ServerLimits(**attrs.asdict(limits))
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        async def run() -> None:
+            await work
+
+        task = asyncio.get_running_loop().create_task(run())
+        task.add_done_callback(self._report_crash)
+        self._tasks.append(task)
+
+    def _report_crash(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error("task-failed", exc_info=task.exception())
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        settings = self._settings
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._is_leaving.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        assert settings.callers is not None and settings.readiness is not None
+        await self._readiness.start(settings.readiness.host, settings.readiness.port)
+        await self._callers.start(settings.callers.host, settings.callers.port)
+        for mirror in (self._configurations, self._instances, self._jobs):
+            self._spawn(mirror.run())
+        self._spawn(self._owner.look_around())
+        self._spawn(self._keep_house())
+        self._log.info("started", program="entry", listens=str(settings.callers))
+        await self._is_leaving.wait()
+        await self._leave()
+
+    def _reload(self) -> None:
+        self._log.info("reload", program="entry")
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(_HOUSEKEEPING_S)
+            now_s = asyncio.get_running_loop().time()
+            self._callers.check_time(now_s)
+            self._readiness.check_time(now_s)
+            self._view.expire_lapsed()
+
+    async def _leave(self) -> None:
+        """Take no new work, answer what is here, then end."""
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        self._log.info("stopping", program="entry", busy=self._callers.busy_count)
+        self._callers.is_leaving = True
+        limit_s = begun_s + self._settings.grace_s * _GRACE_PART
+        await asyncio.sleep(_ROTATION_S)
+        self._callers.stop_listening()
+        self._callers.close_idle()
+        while self._callers.connections and loop.time() < limit_s:
+            await asyncio.sleep(0.05)
+            self._callers.close_idle()
+        self._log.info(
+            "stopped", program="entry", cut_off=len(self._callers.connections)
+        )
--- /dev/null
+++ b/pistachioglade/serving/_ingress.py
@@ -0,0 +1,103 @@
+"""Callers' requests: what each one asks for, and its answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Final
+from urllib.parse import parse_qs
+
+from ..errors import ErrorKind, Refusal, refuse
+from ..fleet import RouteKind, find_route
+from ..forwarding import FleetView, Forwarder
+from ..http1 import Reply, Request, Response
+from ..logs import logger
+from ..platform import names, request_id
+from ._job_calls import JobCalls
+
+#: Statuses of failures whose request may have run: they promise nothing.
+_UNSURE_STATUS: Final = 504
+#: Statuses that promise that a request did not and will not run.
+_PROMISES: Final = frozenset({408, 421, 429, 503})
+#: Part of a rollout route's paths that reads and ends jobs; matched on its hosts.
+_JOB_PATHS: Final = (names.JOB_PATH, names.ITEM_PATH)
+
+_STATUSES: Final[Mapping[ErrorKind, int]] = MappingProxyType(
+    {
+        ErrorKind.DEADLINE_EXCEEDED: 504,
+        ErrorKind.UPSTREAM_LOST: 502,
+        ErrorKind.PLATFORM_UNCERTAIN: _UNSURE_STATUS,
+    }
+)
+
+
+class Ingress:
+    """Answers callers."""
+
+    def __init__(self, view: FleetView, forwarder: Forwarder, jobs: JobCalls) -> None:
+        self._view = view
+        self._forwarder = forwarder
+        self._jobs = jobs
+        self._log = logger(__name__)
+
+    async def handle(self, request: Request, reply: Reply) -> None:
+        """Answer one request."""
+        answer = await self._answer(request)
+        if isinstance(answer, Refusal):
+            self._log.info(
+                "request-refused",
+                request=request_id(request.fields),
+                path=request.path,
+                kind=answer.kind.value,
+                reason=answer.reason,
+                execution=answer.execution.value,
+                after_s=round(
+                    asyncio.get_running_loop().time() - request.received_s, 4
+                ),
+            )
+            answer = refusal_response(answer)
+        reply.send(answer)
+
+    async def _answer(self, request: Request) -> Response | Refusal:
+        configuration = self._view.configuration
+        if configuration is None:
+            return refuse(ErrorKind.NO_CONFIG, "no configuration yet", 0.5)
+        host = request.field("host") or ""
+        if request.path.startswith(_JOB_PATHS):
+            return await self._job_call(request)
+        route = find_route(configuration, host, request.path)
+        if route is None:
+            return refuse(ErrorKind.NOT_FOUND, f"no route for {host}{request.path}")
+        caller_id = request_id(request.fields)
+        if caller_id is None:
+            return refuse(ErrorKind.BAD_REQUEST, f"{names.ATTEMPT_ID}: missing")
+        if route.kind is RouteKind.ROLLOUT:
+            return await self._jobs.submit(request, caller_id, host, route)
+        call = self._forwarder.call_for(request, caller_id, route)
+        return await self._forwarder.forward(call)
+
+    async def _job_call(self, request: Request) -> Response | Refusal:
+        _, _, rest = request.path.partition(names.JOB_PATH)
+        query = {name: values[0] for name, values in parse_qs(request.query).items()}
+        if request.path.startswith(names.ITEM_PATH):
+            job_id = request.path.removeprefix(names.ITEM_PATH)
+            return await self._jobs.body(job_id, query.get("id", ""))
+        if request.method == "DELETE":
+            return await self._jobs.end(rest)
+        after = query.get("after", "0")
+        if request.method != "GET" or not after.isdigit():
+            return refuse(ErrorKind.BAD_REQUEST, f"{request.method} {request.target}")
+        return await self._jobs.read(rest, int(after), request)
+
+
+def refusal_response(refusal: Refusal) -> Response:
+    """Return the answer that a refusal becomes; it promises no more than is known."""
+    status = _STATUSES.get(refusal.kind, refusal.status)
+    if not refusal.did_not_run and status in _PROMISES:
+        status = _UNSURE_STATUS
+    wait_s = refusal.retry_after_s
+    retry = (("Retry-After", f"{wait_s:g}"),) if wait_s is not None else ()
+    kind = (("Content-Type", "text/plain; charset=utf-8"),)
+    body = f"{refusal.kind.value}: {refusal.reason}\n".encode()
+    return Response(status, (*retry, *kind), body)
--- /dev/null
+++ b/pistachioglade/serving/_job_calls.py
@@ -0,0 +1,135 @@
+"""Trainers' calls on jobs: submit, read, fetch a body, end."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Final
+
+from ..errors import ErrorKind, Refusal, refuse
+from ..fleet import Route
+from ..http1 import Request, Response
+from ..jobs import (
+    JOB_KIND,
+    JobLedger,
+    JobState,
+    RecordKind,
+    RecordName,
+    Submission,
+    encode_submission,
+)
+from ..logs import logger
+from ..platform import decode_job, encode_results_page, parse_submission, wait_s
+from ..store import StoreClient
+
+#: Time within which a job's acceptance is settled with the store; then the trainer
+#: hears that it is open whether it was accepted, and comes again.
+_ACCEPT_WITHIN_S: Final = 1.5
+#: Time within which the end of a job is settled with the store.
+_END_WITHIN_S: Final = 3.0
+#: When a trainer comes again with a job that could not be stored: another node may
+#: take it at once.
+_RETRY_S: Final = 0.2
+
+_JSON: Final = (("Content-Type", "application/json"),)
+
+
+class JobCalls:
+    """Answers trainers from the ledger, and the store where that isn't enough."""
+
+    def __init__(self, node: str, ledger: JobLedger, store: StoreClient) -> None:
+        self._node = node
+        self._ledger = ledger
+        self._store = store
+        self._log = logger(__name__)
+
+    async def submit(
+        self, request: Request, job_id: str, host: str, route: Route
+    ) -> Response | Refusal:
+        """Accept a job once; any repeat gets the same answer."""
+        if request.method != "POST":
+            return refuse(ErrorKind.BAD_REQUEST, f"{request.method} on {route.name}")
+        if "." in job_id or "/" in job_id:
+            return refuse(ErrorKind.BAD_REQUEST, f"{job_id}: not an id for a job")
+        if self._ledger.find(job_id) is not None:
+            return Response(202)
+        fields = parse_submission(request.body)
+        if isinstance(fields, Refusal):
+            return fields
+        job = decode_job(job_id, host, request.path, fields)
+        if isinstance(job, Refusal):
+            return job
+        submission = Submission(self._node, host, request.path, time.time(), fields)
+        stored = await self._store.create(
+            JOB_KIND, job_id, encode_submission(submission), _ACCEPT_WITHIN_S
+        )
+        if isinstance(stored, Refusal):
+            if stored.kind is ErrorKind.PLATFORM_UNAVAILABLE:
+                return refuse(stored.kind, stored.reason, _RETRY_S)
+            return stored
+        self._log.info(
+            "job-accepted",
+            job=job_id,
+            step=job.step,
+            model=job.model,
+            min_version=job.min_version,
+            items=len(job.items),
+            owner=stored.value["owner"],
+            took_s=round(asyncio.get_running_loop().time() - request.received_s, 4),
+        )
+        self._ledger.take(stored, False)
+        return Response(202)
+
+    async def _find(self, job_id: str) -> JobState | Refusal:
+        """Return a job that the ledger or the store knows."""
+        state = self._ledger.find(job_id)
+        if state is not None:
+            return state
+        if not job_id or "." in job_id or "/" in job_id:
+            return refuse(ErrorKind.NOT_FOUND, f"{job_id}: no such job")
+        stored = await self._store.read(JOB_KIND, job_id)
+        if isinstance(stored, Refusal):
+            if stored.kind is ErrorKind.NOT_FOUND:
+                return stored
+            return refuse(ErrorKind.PLATFORM_UNAVAILABLE, stored.reason, _RETRY_S)
+        self._ledger.take(stored, False)
+        found = self._ledger.find(job_id)
+        return found or refuse(ErrorKind.INTERNAL, f"{job_id}: unreadable")
+
+    async def read(
+        self, job_id: str, after: int, request: Request
+    ) -> Response | Refusal:
+        """Return results from a position on, held until there is one."""
+        state = await self._find(job_id)
+        if isinstance(state, Refusal):
+            return state
+        if state.is_open:
+            await state.wait_for_more(after, wait_s(request.fields))
+        page = encode_results_page(state.total, after, state.page(after))
+        return Response(200, _JSON, page)
+
+    async def body(self, job_id: str, item_id: str) -> Response | Refusal:
+        """Return the body of an item."""
+        state = await self._find(job_id)
+        if isinstance(state, Refusal):
+            return state
+        if isinstance(state.job, Refusal):
+            return state.job
+        item = next((item for item in state.job.items if item.id == item_id), None)
+        if item is None:
+            return refuse(ErrorKind.NOT_FOUND, f"{item_id}: no such item")
+        return Response(200, (), item.body)
+
+    async def end(self, job_id: str) -> Response | Refusal:
+        """End a job; the answer follows the store's."""
+        state = await self._find(job_id)
+        if isinstance(state, Refusal):
+            return state
+        if not state.is_ended:
+            name = str(RecordName(job_id, RecordKind.END))
+            stored = await self._store.create(JOB_KIND, name, {}, _END_WITHIN_S)
+            if isinstance(stored, Refusal):
+                return stored
+            self._ledger.take(stored, False)
+            self._log.info("job-ended", job=job_id, results=len(state.results))
+        return Response(200)
--- /dev/null
+++ b/pistachioglade/serving/_storage_program.py
@@ -0,0 +1,82 @@
+"""The program on machines with a disk: answers requests to empty such a machine.
+
+Nothing of the product lies on these disks, so a machine is empty when it is asked.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import Final
+
+from ..errors import Refusal
+from ..logs import logger
+from ..platform import (
+    Entry,
+    ProcessSettings,
+    encode_retirement,
+    is_retirement_open,
+    names,
+)
+from ..store import Mirror, StoreClient
+
+#: Time for which a process leaves a request to the machine that is asked; by then it
+#: is down, cut off or runs nothing of ours.
+_OWN_TURN_S: Final = 1.0
+#: Pause before an answer that failed is given again.
+_PAUSE_S: Final = 0.3
+#: Time that the watch waits. Requests allow seconds, and a silent connection shows
+#: itself by its keep-alive.
+_WATCH_HOLD_S: Final = 5.0
+
+
+class StorageProgram:
+    """Answers the requests of any machine, its own at once."""
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self._settings = settings
+        self._log = logger(__name__)
+        self._store = StoreClient(settings.store.host, settings.store.port)
+        self._requests = Mirror(
+            self._store, names.RETIREMENT_KIND, self._take, _WATCH_HOLD_S
+        )
+        self._answers: dict[str, asyncio.Task[None]] = {}
+
+    def _take(self, entry: Entry, is_removed: bool) -> None:
+        is_open = not is_removed and is_retirement_open(entry.status)
+        if is_open and entry.name not in self._answers:
+            loop = asyncio.get_running_loop()
+            self._answers[entry.name] = loop.create_task(self._answer(entry.name))
+
+    async def _answer(self, node: str) -> None:
+        if node != self._settings.node:
+            await asyncio.sleep(_OWN_TURN_S)
+        while self._is_open(node):
+            refusal = await self._store.set_status(
+                names.RETIREMENT_KIND, node, encode_retirement(True)
+            )
+            outcome = refusal.reason if isinstance(refusal, Refusal) else "emptied"
+            self._log.info("retirement-answered", machine=node, outcome=outcome)
+            if refusal is None:
+                break
+            await asyncio.sleep(_PAUSE_S)
+        self._answers.pop(node, None)
+
+    def _is_open(self, node: str) -> bool:
+        entry = self._requests.entries.get(node)
+        return entry is not None and is_retirement_open(entry.status)
+
+    async def run(self) -> None:
+        """Answer until SIGTERM."""
+        loop = asyncio.get_running_loop()
+        is_leaving = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, is_leaving.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        task = loop.create_task(self._requests.run())
+        self._log.info("started", program="storage")
+        await is_leaving.wait()
+        task.cancel()
+        self._log.info("stopped", program="storage")
+
+    def _reload(self) -> None:
+        self._log.info("reload", program="storage")
--- /dev/null
+++ b/pistachioglade/store/__init__.py
@@ -0,0 +1,6 @@
+"""The platform's store: the client, and local copies of its kinds."""
+
+from ._client import CALL_TIMEOUT_S, Relay, StoreClient
+from ._watch import WATCH_HOLD_S, Mirror
+
+__all__ = ["CALL_TIMEOUT_S", "WATCH_HOLD_S", "Mirror", "Relay", "StoreClient"]
--- /dev/null
+++ b/pistachioglade/store/_client.py
@@ -0,0 +1,205 @@
+"""The one client of the store: calls, their time limits, and writes made certain."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any, Final
+
+from ..errors import ErrorKind, Refusal, refuse
+from ..http1 import Pool, Response
+from ..logs import logger
+from ..platform import (
+    Entry,
+    EntryChanges,
+    EntryPage,
+    StoreCall,
+    create_call,
+    decode_changes,
+    decode_entry,
+    decode_page,
+    delete_call,
+    list_call,
+    read_call,
+    refusal_of,
+    replace_call,
+    status_call,
+    watch_call,
+)
+
+#: Time for one call: an answer takes 4 ms, and about 0.3 s on the slowest days.
+CALL_TIMEOUT_S: Final = 1.0
+#: Time between two tries of a call that was refused or lost.
+_PAUSE_S: Final = 0.15
+#: Time for which the direct way is left alone after it failed.
+_DIRECT_REST_S: Final = 1.0
+
+_JSON: Final = (("Content-Type", "application/json"),)
+
+#: Makes a call by way of another node.
+Relay = Callable[[StoreCall, float], Awaitable[Response | Refusal]]
+
+
+class StoreClient:
+    """Calls the store, directly or by way of a peer that still reaches it."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._pool = Pool(host, port)
+        self._host_field = (("Host", f"{host}:{port}"),)
+        self._log = logger(__name__)
+        self._failed_s: float | None = None
+        # Ways around a direct path that fails, in the order in which to try them.
+        self.relays: Callable[[], Sequence[Relay]] = tuple
+        # When a direct call last failed; None if none has.
+        self.trouble_s: float | None = None
+        # When the store last answered this node directly; None before that.
+        self.answered_s: float | None = None
+        # Calls made, for the metrics.
+        self.calls = 0
+
+    @property
+    def is_reached(self) -> bool:
+        """Whether the last direct call was answered."""
+        return self.answered_s is not None and self._failed_s is None
+
+    async def direct(self, call: StoreCall, timeout_s: float) -> Response | Refusal:
+        """Make one call on this node's own connection."""
+        self.calls += 1
+        fields = (*self._host_field, *(_JSON if call.body else ()))
+        try:
+            answer = await self._pool.request(
+                call.method, call.target, fields, call.body, timeout_s
+            )
+        except TimeoutError:
+            reason = f"store gave no answer in {timeout_s} s"
+            answer = refuse(ErrorKind.UPSTREAM_LOST, reason)
+        self._note(answer)
+        return answer
+
+    def _note(self, answer: Response | Refusal) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if isinstance(answer, Refusal) or answer.status in (429, 503):
+            if self._failed_s is None:
+                reason = answer.reason if isinstance(answer, Refusal) else answer.status
+                self._log.warning("dependency-lost", dependency="store", reason=reason)
+            self._failed_s = self.trouble_s = now_s
+            return
+        if self._failed_s is not None or self.answered_s is None:
+            self._log.info("dependency-regained", dependency="store")
+        self._failed_s = None
+        self.answered_s = now_s
+
+    def _rests(self) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        return self._failed_s is not None and now_s - self._failed_s < _DIRECT_REST_S
+
+    async def exchange(self, call: StoreCall, timeout_s: float) -> Response | Refusal:
+        """Make a call by the first way that takes it."""
+        relays = self.relays()
+        direct = self.direct
+        ways = (*relays, direct) if self._rests() else (direct, *relays)
+        answer: Response | Refusal = refuse(ErrorKind.PLATFORM_UNAVAILABLE, "no way")
+        for way in ways:
+            answer = await way(call, timeout_s)
+            is_refused = not isinstance(answer, Refusal) and answer.status in (429, 503)
+            was_taken = isinstance(answer, Refusal) and not answer.did_not_run
+            if not is_refused and (not isinstance(answer, Refusal) or was_taken):
+                break
+        return answer
+
+    async def call(
+        self, call: StoreCall, timeout_s: float = CALL_TIMEOUT_S
+    ) -> Response | Refusal:
+        """Make a call; a refusal says whether it may have taken effect."""
+        is_write = call.method != "GET"
+        answer = await self.exchange(call, timeout_s)
+        if isinstance(answer, Refusal):
+            is_unsure = is_write and not answer.did_not_run
+            kind = (
+                ErrorKind.PLATFORM_UNCERTAIN
+                if is_unsure
+                else ErrorKind.PLATFORM_UNAVAILABLE
+            )
+            return refuse(kind, answer.reason)
+        return refusal_of(answer, is_write) or answer
+
+    async def read(self, kind: str, name: str) -> Entry | Refusal:
+        """Read one object."""
+        answer = await self.call(read_call(kind, name))
+        return answer if isinstance(answer, Refusal) else _entry(answer)
+
+    async def page(self, kind: str, after: str) -> EntryPage | Refusal:
+        """Read the part of a list that follows a name."""
+        answer = await self.call(list_call(kind, after))
+        return answer if isinstance(answer, Refusal) else decode_page(answer.body)
+
+    async def changes(
+        self, kind: str, revision: int, hold_s: float
+    ) -> EntryChanges | Refusal:
+        """Wait for changes behind a revision."""
+        call = watch_call(kind, revision, hold_s)
+        answer = await self.call(call, hold_s + CALL_TIMEOUT_S)
+        return answer if isinstance(answer, Refusal) else decode_changes(answer.body)
+
+    async def create(
+        self, kind: str, name: str, value: Any, within_s: float
+    ) -> Entry | Refusal:
+        """Create an object and return the one in force, this or an earlier one.
+
+        Tries again after lost answers until ``within_s`` is over; then a refusal
+        of kind PLATFORM_UNCERTAIN tells that the object may come to exist.
+        """
+        call = create_call(kind, name, value)
+        deadline_s = asyncio.get_running_loop().time() + within_s
+        is_unsure = False
+        while True:
+            answer = await self.exchange(call, CALL_TIMEOUT_S)
+            refusal = (
+                answer if isinstance(answer, Refusal) else refusal_of(answer, True)
+            )
+            if refusal is None:
+                assert isinstance(answer, Response)
+                return _entry(answer)
+            if refusal.kind is ErrorKind.CONFLICT:
+                assert isinstance(answer, Response)
+                return _entry(answer)
+            if refusal.kind in (ErrorKind.TOO_LARGE, ErrorKind.BAD_REQUEST):
+                return refusal
+            is_unsure = is_unsure or not refusal.did_not_run
+            if asyncio.get_running_loop().time() + _PAUSE_S > deadline_s:
+                break
+            await asyncio.sleep(_PAUSE_S)
+        kind_left = (
+            ErrorKind.PLATFORM_UNCERTAIN
+            if is_unsure
+            else ErrorKind.PLATFORM_UNAVAILABLE
+        )
+        return refuse(kind_left, refusal.reason)
+
+    async def replace(
+        self, kind: str, name: str, value: Any, revision: int
+    ) -> Entry | Refusal:
+        """Replace an object that still has a revision, once."""
+        answer = await self.call(replace_call(kind, name, value, revision))
+        return answer if isinstance(answer, Refusal) else _entry(answer)
+
+    async def set_status(self, kind: str, name: str, status: Any) -> Refusal | None:
+        """Replace the status of an object, once."""
+        answer = await self.call(status_call(kind, name, status))
+        return answer if isinstance(answer, Refusal) else None
+
+    async def delete(
+        self, kind: str, name: str, revision: int | None = None
+    ) -> Refusal | None:
+        """Remove an object, once."""
+        answer = await self.call(delete_call(kind, name, revision))
+        return answer if isinstance(answer, Refusal) else None
+
+
+def _entry(answer: Response) -> Entry | Refusal:
+    try:
+        return decode_entry(json.loads(answer.body))
+    except (KeyError, TypeError, ValueError) as error:
+        reason = f"store sent no object: {type(error).__name__} {error}"
+        return refuse(ErrorKind.PLATFORM_UNCERTAIN, reason)
--- /dev/null
+++ b/pistachioglade/store/_watch.py
@@ -0,0 +1,122 @@
+"""A local copy of all objects of one kind, kept by a list and a watch."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from ..errors import ErrorKind, Refusal
+from ..logs import logger
+from ..platform import Entry
+from ._client import StoreClient
+
+#: Time that one watch waits; with a silent connection it is also how long changes
+#: can go unseen, and has to stay under the bound for configurations (2 s and more).
+WATCH_HOLD_S: Final = 2.0
+#: Pause after a watch or list that failed.
+_PAUSE_S: Final = 0.2
+
+#: Takes an object as it is now, or as it was when it was removed.
+OnChange = Callable[[Entry, bool], None]
+
+
+class Mirror:
+    """Follows one kind; never goes back behind a revision that it has shown."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        kind: str,
+        on_change: OnChange,
+        hold_s: float = WATCH_HOLD_S,
+    ) -> None:
+        self._store = store
+        self._kind = kind
+        self._on_change = on_change
+        self._hold_s = hold_s
+        self._revision = 0
+        self._log = logger(__name__)
+        # The objects by name.
+        self.entries: dict[str, Entry] = {}
+        # Set once the first list has been read.
+        self.is_synced = asyncio.Event()
+        # When a call last succeeded; None before the first.
+        self.seen_s: float | None = None
+
+    async def run(self) -> None:
+        """Follow the kind for good."""
+        while True:
+            if not await self._list():
+                await asyncio.sleep(_PAUSE_S)
+                continue
+            self.is_synced.set()
+            await self._follow()
+
+    async def _list(self) -> bool:
+        found: dict[str, Entry] = {}
+        after = ""
+        revision: int | None = None
+        while True:
+            page = await self._store.page(self._kind, after)
+            if isinstance(page, Refusal):
+                self._log.warning("list-failed", kind=self._kind, reason=page.reason)
+                return False
+            found.update((entry.name, entry) for entry in page.entries)
+            revision = page.revision if revision is None else revision
+            if not page.has_more or not page.entries:
+                break
+            after = page.entries[-1].name
+        if revision < self._revision:
+            return False
+        self._take_list(found, revision)
+        return True
+
+    def _take_list(self, found: dict[str, Entry], revision: int) -> None:
+        self._revision = revision
+        self._touch()
+        gone = [
+            entry
+            for name, entry in self.entries.items()
+            if name not in found and entry.revision <= revision
+        ]
+        for entry in gone:
+            self._apply(entry, True)
+        for entry in found.values():
+            known = self.entries.get(entry.name)
+            if known is None or known.revision < entry.revision:
+                self._apply(entry, False)
+
+    async def _follow(self) -> None:
+        """Watch until the history that is needed is gone."""
+        while True:
+            told = await self._store.changes(self._kind, self._revision, self._hold_s)
+            if isinstance(told, Refusal):
+                if told.kind is ErrorKind.HISTORY_GONE:
+                    self._log.info("watch-restarted", kind=self._kind)
+                    return
+                await asyncio.sleep(_PAUSE_S)
+                continue
+            self._touch()
+            for change in told.changes:
+                known = self.entries.get(change.entry.name)
+                is_newer = known is None or known.revision <= change.entry.revision
+                if is_newer or change.is_removed:
+                    self._apply(change.entry, change.is_removed)
+            self._revision = max(self._revision, told.revision)
+
+    def _touch(self) -> None:
+        self.seen_s = asyncio.get_running_loop().time()
+
+    def put(self, entry: Entry) -> None:
+        """Take an object that a call of this node has returned."""
+        known = self.entries.get(entry.name)
+        if known is None or known.revision < entry.revision:
+            self._apply(entry, False)
+
+    def _apply(self, entry: Entry, is_removed: bool) -> None:
+        if is_removed:
+            self.entries.pop(entry.name, None)
+        else:
+            self.entries[entry.name] = entry
+        self._on_change(entry, is_removed)
--- a/pistachioglade/telemetry/__init__.py
+++ b/pistachioglade/telemetry/__init__.py
@@ -1,6 +1,6 @@
 """Logs, metrics and traces."""
 
-from ._logs import configure_logs, logger
+from ..logs import configure_logs, logger
 from ._metrics import Metrics
 from ._traces import Tracing
 
--- a/pistachioglade/trainer/_http.py
+++ b/pistachioglade/trainer/_http.py
@@ -9,9 +9,9 @@
 
 import attrs
 
+from ..backing import HttpReply, HttpSession
 from ..errors import ANSWERS, ErrorKind, Refusal, refuse
 from ..messages import structure
-from ..platform import HttpReply, HttpSession
 
 _PAUSE_S: Final = 0.2
 
--- a/tests/scenario/_checking.py
+++ b/tests/scenario/_checking.py
@@ -7,7 +7,7 @@
 
 from pistachioglade.config import ServiceConfig
 from pistachioglade.load import OPERATOR_TOKEN, Cluster, TrainerOutcome, checks
-from pistachioglade.platform import HttpReply
+from pistachioglade.backing import HttpReply
 from pistachioglade.trainer import TrainerClient
 
 _GRACE_S = 5.0
--- a/tests/scenario/_session.py
+++ b/tests/scenario/_session.py
@@ -20,7 +20,7 @@
     token_of,
 )
 from pistachioglade.messages import Group
-from pistachioglade.platform import HttpReply
+from pistachioglade.backing import HttpReply
 from pistachioglade.trainer import OpenedStep, TrainerCheckpoint
 
 from ._checking import Checking
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -14,7 +14,7 @@
 from pistachioglade.links import Identity
 from pistachioglade.load import OPERATOR_TOKEN, Cluster, token_of
 from pistachioglade.messages import Envelope, decode_frame
-from pistachioglade.platform import HttpReply
+from pistachioglade.backing import HttpReply
 
 from .conftest import CONFIGS
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,7 +7,7 @@
 
 from pistachioglade.config import AgentSettings, EntrySettings, load_settings
 from pistachioglade.load import OPERATOR_TOKEN, Cluster, token_of
-from pistachioglade.platform import HttpReply
+from pistachioglade.backing import HttpReply
 
 from .conftest import CONFIGS
 
--- a/tests/without.py
+++ b/tests/without.py
@@ -147,10 +147,10 @@
     ),
     Mechanism(
         "configuration: a lost answer is read back",
-        "platform/_root_store.py",
+        "backing/_root_store.py",
         "if earlier is not None:",
         "if False:",
-        ("pistachioglade/platform/tests/test_root_store.py",),
+        ("pistachioglade/backing/tests/test_root_store.py",),
     ),
     Mechanism(
         "configuration: only higher generations are taken",
