Results are read from a job's owner; entries watch a neighbour; engines skip every other version

Change: results are objects that nobody watches, read from the owner over a link or from the store; a run begins after its results are read; entries probe the one before them and take its jobs over; an engine that refuses is left alone for 60 to 250 ms; an engine loads every other version of a model.

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -26,10 +26,23 @@
 from ._sample_order import PendingSample, start_order
 from ._staleness import VersionPace, hold_s, is_fresh, will_be_fresh
 from ._step import Dispatch, StepPlan, StepPolicy
+from ._takeover import (
+    PROBE_INTERVAL_S,
+    PROBE_TIMEOUT_S,
+    NeighbourView,
+    heir_of,
+    is_lost,
+    is_storeless,
+    neighbour_of,
+)
 from ._transfer import fetch_sources, wave_delay_s
+from ._weight_turns import MAX_LAG, should_load
 
 __all__ = [
     "BUCKET_COUNT",
+    "MAX_LAG",
+    "PROBE_INTERVAL_S",
+    "PROBE_TIMEOUT_S",
     "AgentView",
     "Attach",
     "CallChooser",
@@ -43,6 +56,7 @@
     "KeyGate",
     "LeaseObserver",
     "Membership",
+    "NeighbourView",
     "PendingSample",
     "PlacementPolicy",
     "Replay",
@@ -56,13 +70,18 @@
     "choose_for_sample",
     "fetch_sources",
     "fingers",
+    "heir_of",
     "hold_s",
     "is_fresh",
+    "is_lost",
     "is_slow",
+    "is_storeless",
     "may_retry",
     "may_try_again",
+    "neighbour_of",
     "refusal_wait_s",
     "rendezvous_order",
+    "should_load",
     "should_move",
     "slow_agents",
     "stable_hash",
--- a/pistachioglade/decisions/_instance_choice.py
+++ b/pistachioglade/decisions/_instance_choice.py
@@ -21,6 +21,11 @@
 _FIRST_REST_S: Final = 0.25
 #: Longest rest: the list of instances names a dead one within three heartbeats (3.6 s).
 _LONGEST_REST_S: Final = 3.0
+#: First pause of an instance that refused: about the time until one of its slots is
+#: free.
+_FIRST_PAUSE_S: Final = 0.06
+#: Longest such pause: a load of weights takes 0.9 s, and its end should be seen soon.
+_LONGEST_PAUSE_S: Final = 0.25
 #: Load, as a part of the slots, that staying in the failure domain may cost: two of
 #: six slots, which wait for nobody.
 _DOMAIN_WORTH: Final = 0.34
@@ -59,6 +64,8 @@
     others_s: float = float("-inf")
     # Failures since the last good answer.
     failures: int = 0
+    # Refusals since the last good answer.
+    refusals: int = 0
     # Until when it rests.
     rests_until_s: float = float("-inf")
     # Time between two events of a stream; None before any.
@@ -86,9 +93,16 @@
         self.others = max(0, running + waiting - self.outstanding)
         self.others_s = now_s
 
+    def refused(self, now_s: float) -> None:
+        """Count a refusal: the instance is full, or loads weights."""
+        pause_s = min(_LONGEST_PAUSE_S, _FIRST_PAUSE_S * 2.0**self.refusals)
+        self.refusals += 1
+        self.rests_until_s = max(self.rests_until_s, now_s + pause_s)
+
     def answered(self) -> None:
         """Count a good answer."""
         self.failures = 0
+        self.refusals = 0
         self.rests_until_s = float("-inf")
 
     def failed(self, now_s: float) -> None:
--- a/pistachioglade/decisions/_result_batches.py
+++ b/pistachioglade/decisions/_result_batches.py
@@ -1,20 +1,20 @@
 """When finished results are written to the store.
 
-The load it answers: some sixty results of a step come within two or three seconds; each
-write is priced and wakes every node's watch. What a trainer waits for is whole groups,
-and its next step starts only when it has enough of them.
+The load it answers: some sixty results of a step come within two or three seconds, and
+each write is paid for. What a trainer waits for is whole groups, and its next step
+starts only when it has enough of them; a result alone is worth nothing to it.
 """
 
 from __future__ import annotations
 
 from typing import Final
 
-#: Longest time that a result waits while no group hangs on it: readers come twice a
-#: second, so that shorter waits show them nothing earlier.
-_IDLE_WAIT_S: Final = 0.6
-#: Time for further results of the moment to join a batch that a group hangs on: one
-#: or two events.
-_GROUP_WAIT_S: Final = 0.06
+#: Longest time that a result waits while no group hangs on it: what a death of the
+#: node costs at most, which is made again in about this time.
+_IDLE_WAIT_S: Final = 2.0
+#: Time for further results to join a batch that completes a group while the trainer
+#: still waits for more: half of the time between two of its reads.
+_GROUP_WAIT_S: Final = 0.8
 
 
 def batch_wait_s(
@@ -29,4 +29,4 @@
         return 0.0
     if has_new_group and whole_groups >= target_groups:
         return 0.0
-    return _GROUP_WAIT_S * 4 if has_new_group else _IDLE_WAIT_S
+    return _GROUP_WAIT_S if has_new_group else _IDLE_WAIT_S
--- a/pistachioglade/forwarding/_upstream_call.py
+++ b/pistachioglade/forwarding/_upstream_call.py
@@ -49,7 +49,9 @@
             record.told_load(load.running, load.waiting, loop.time())
     if not isinstance(judged, Refusal):
         record.answered()
-    elif judged.kind is not ErrorKind.OVERLOADED:
+    elif judged.kind is ErrorKind.OVERLOADED:
+        record.refused(loop.time())
+    else:
         record.failed(loop.time())
     return judged
 
--- a/pistachioglade/jobs/__init__.py
+++ b/pistachioglade/jobs/__init__.py
@@ -3,9 +3,10 @@
 from ._event_stream import EventDecoder, SampleEvent
 from ._ledger import JobLedger, JobState
 from ._owner import JobOwner
+from ._reader import JobReader, address_of, batches_from
 from ._records import (
     JOB_KIND,
-    Batch,
+    RESULT_KIND,
     RecordKind,
     RecordName,
     Submission,
@@ -16,15 +17,18 @@
 
 __all__ = [
     "JOB_KIND",
-    "Batch",
+    "RESULT_KIND",
     "EventDecoder",
     "JobLedger",
     "JobOwner",
+    "JobReader",
     "JobState",
     "RecordKind",
     "RecordName",
     "SampleEvent",
     "Submission",
+    "address_of",
+    "batches_from",
     "encode_batch",
     "encode_submission",
     "parse_name",
--- a/pistachioglade/jobs/_job_run.py
+++ b/pistachioglade/jobs/_job_run.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from itertools import count
 
 import attrs
@@ -14,10 +14,11 @@
 from ..errors import Refusal
 from ..fleet import Item, Job, Result, Route
 from ..logs import logger
+from ..messages import BatchRecord, SampleTexts, TextRecord
 from ..platform import Entry, encode_result
 from ..store import StoreClient
 from ._ledger import JobLedger, JobState
-from ._records import JOB_KIND, Batch, RecordKind, RecordName, encode_batch
+from ._records import RESULT_KIND, RecordKind, RecordName, decode_batch, encode_batch
 from ._sample_try import SampleText, SampleTry, TryEnd, TryResult
 
 #: Time within which a batch's write is settled before it is tried anew.
@@ -142,7 +143,8 @@
     def finish(self, sample: Sample, result: Result) -> None:
         """Queue an item's result for its write."""
         now_s = asyncio.get_running_loop().time()
-        self.samples.pop(sample.item.id, None)
+        if self.samples.pop(sample.item.id, None) is None:
+            return
         self._unwritten.append(_Finished(result, sample.item.group, now_s))
         self._has_news.set()
 
@@ -170,6 +172,34 @@
             sample.is_waiting = True
         return False
 
+    def texts(self) -> SampleTexts:
+        """Return what has been made of the samples that have no result."""
+        return SampleTexts(
+            tuple(
+                TextRecord(
+                    sample.item.id,
+                    tuple(sample.text.parts),
+                    sample.text.last_event,
+                    tuple(sorted(sample.text.versions)),
+                    sample.failures,
+                )
+                for sample in self.samples.values()
+                if sample.text.last_event is not None
+            )
+        )
+
+    def take_texts(self, made: SampleTexts) -> None:
+        """Go on from the texts of an earlier owner where nothing has begun."""
+        for record in made.texts:
+            sample = self.samples.get(record.item_id)
+            is_usable = all(item >= self.job.min_version for item in record.versions)
+            if sample is None or sample.text.last_event is not None or not is_usable:
+                continue
+            sample.text.parts = list(record.parts)
+            sample.text.last_event = record.last_event
+            sample.text.versions = set(record.versions)
+            sample.failures = record.failures
+
     # Writing.
 
     def _wait_s(self) -> float:
@@ -180,9 +210,25 @@
         is_last = not self.samples
         return batch_wait_s(whole, self.job.target_groups, has_new_group, is_last)
 
+    def drop_listed(self) -> None:
+        """Forget samples and results that stand in the store already."""
+        listed = self.state.done
+        for item_id in [item_id for item_id in self.samples if item_id in listed]:
+            running = self.samples.pop(item_id).running
+            if running is not None:
+                running.move()
+        self._unwritten = [
+            item for item in self._unwritten if item.result.item_id not in listed
+        ]
+        if not self._unwritten:
+            self._has_news.clear()
+
     async def _write_results(self) -> None:
         while True:
             await self._has_news.wait()
+            self.drop_listed()
+            if not self._unwritten:
+                continue
             oldest_s = self._unwritten[0].finished_s
             now_s = asyncio.get_running_loop().time()
             wait_s = oldest_s + self._wait_s() - now_s
@@ -190,16 +236,11 @@
                 await asyncio.sleep(min(wait_s, 0.05))
                 continue
             await self._write(tuple(self._unwritten))
-            listed = self.state.done
-            self._unwritten = [
-                item for item in self._unwritten if item.result.item_id not in listed
-            ]
-            if not self._unwritten:
-                self._has_news.clear()
+            self.drop_listed()
 
     async def _write(self, finished: tuple[_Finished, ...]) -> None:
         """Write a batch at the next free number; keep trying with the same one."""
-        batch = Batch(
+        batch = BatchRecord(
             f"{self._writer}:{next(self._writes)}",
             len(self.state.results),
             tuple(json.dumps(encode_result(item.result)) for item in finished),
@@ -209,16 +250,17 @@
         name = str(RecordName(self.job.id, RecordKind.BATCH, number))
         while self.state.next_batch == number:
             stored = await self._store.create(
-                JOB_KIND, name, encode_batch(batch), _WRITE_WITHIN_S
+                RESULT_KIND, name, encode_batch(batch), _WRITE_WITHIN_S
             )
             if isinstance(stored, Entry):
-                self._ledger.take(stored, False)
-                is_own = stored.value["writer"] == batch.writer
+                in_force = decode_batch(stored.value)
+                self._ledger.add_batch(self.state, number, in_force)
+                is_own = in_force.writer == batch.writer
                 self._log.info(
                     "results-listed" if is_own else "results-of-another-node",
                     job=self.job.id,
                     batch=number,
-                    results=len(stored.value["results"]),
+                    results=len(in_force.results),
                     oldest_age_s=round(
                         asyncio.get_running_loop().time() - finished[0].finished_s, 3
                     ),
@@ -232,7 +274,3 @@
 
 def _groups_of(job: Job) -> list[str]:
     return list(dict.fromkeys(item.group for item in job.items))
-
-
-#: Called when a sample may start or end somewhere.
-Pump = Callable[[], None]
--- a/pistachioglade/jobs/_ledger.py
+++ b/pistachioglade/jobs/_ledger.py
@@ -12,13 +12,12 @@
 from ..errors import Refusal
 from ..fleet import Job
 from ..logs import logger
+from ..messages import BatchRecord
 from ..platform import Entry, decode_job
 from ._records import (
-    Batch,
     RecordKind,
     RecordName,
     Submission,
-    decode_batch,
     decode_submission,
     parse_name,
 )
@@ -35,20 +34,20 @@
     id: str
     # The submission; None while only later objects have been seen.
     submission: Submission | None = None
-    # Node that runs it; empty while it is not known.
+    # Entry that runs it; empty while it is not known.
     owner: str = ""
     # Revision of the object that names the owner; 0 for the first owner.
     owner_revision: int = 0
+    # Entry that ran it before the owner; empty if there was none.
+    earlier_owner: str = ""
     # Whether the trainer has ended it.
     is_ended: bool = False
     # Results by position, encoded.
     results: list[str] = attrs.field(factory=list)
     # Items that have a result.
     done: set[str] = attrs.field(factory=set)
-    # Number of the batch that comes next.
-    next_batch: int = 0
-    # Batches that came before their turn.
-    early: dict[int, Batch] = attrs.field(factory=dict)
+    # All batches of results that are known, from the first on.
+    batches: list[BatchRecord] = attrs.field(factory=list)
     # Readers that wait for results.
     waiters: set[asyncio.Future[None]] = attrs.field(factory=set)
 
@@ -98,6 +97,20 @@
         finally:
             self.waiters.discard(waiter)
 
+    @property
+    def next_batch(self) -> int:
+        """Number of the batch that comes next."""
+        return len(self.batches)
+
+    def add_batch(self, number: int, batch: BatchRecord) -> None:
+        """Take the next batch; one that is known already says the same again."""
+        if number != self.next_batch:
+            return
+        self.batches.append(batch)
+        self.results.extend(batch.results)
+        self.done.update(batch.item_ids)
+        self.wake()
+
     def wake(self) -> None:
         """Let readers look again."""
         for waiter in self.waiters:
@@ -149,22 +162,16 @@
                 state.owner = state.owner or state.submission.owner
             case RecordKind.OWNER:
                 if entry.revision > state.owner_revision:
+                    state.earlier_owner = entry.value["earlier"]
                     state.owner = entry.value["owner"]
                     state.owner_revision = entry.revision
             case RecordKind.END:
                 state.is_ended = True
             case RecordKind.BATCH:
-                state.early[name.batch] = decode_batch(entry.value)
-                self._append(state)
-
-    def _append(self, state: JobState) -> None:
-        while (batch := state.early.pop(state.next_batch, None)) is not None:
-            state.next_batch += 1
-            state.results.extend(batch.results)
-            state.done.update(batch.item_ids)
-        state.early = {
-            number: batch
-            for number, batch in state.early.items()
-            if number >= state.next_batch
-        }
-        state.wake()
+                self._log.error("job-record-misplaced", name=entry.name)
+
+    def add_batch(self, state: JobState, number: int, batch: BatchRecord) -> None:
+        """Take a batch of results that the store has."""
+        state.add_batch(number, batch)
+        for callback in self.on_change:
+            callback(state)
--- a/pistachioglade/jobs/_owner.py
+++ b/pistachioglade/jobs/_owner.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from itertools import count
 from typing import Final
 
 from ..decisions import choose_for_sample, should_move, start_order
@@ -13,16 +12,20 @@
 from ..forwarding import FleetView, Forwarder
 from ..http1 import Request, Response
 from ..logs import logger
+from ..messages import SampleTexts
 from ..platform import signature
 from ..store import StoreClient
 from ._job_run import JobRun, Sample
 from ._ledger import JobLedger, JobState
+from ._reader import JobReader
 from ._sample_try import SampleTry, TryEnd, TryResult
 
 #: Time between two looks at samples that wait or should move: two events.
 _LOOK_S: Final = 0.08
 #: Pause before a reward call is made again: the plain services' mean work.
 _REWARD_PAUSE_S: Final = 0.05
+#: Pause before the results of a job that is taken over are read again.
+_CATCH_UP_PAUSE_S: Final = 0.2
 #: Time that results are due after submission where the route doesn't say.
 _DEFAULT_AIM_S: Final = 60.0
 #: Time after which items are given up where the route doesn't say.
@@ -34,25 +37,31 @@
 
     def __init__(
         self,
-        node: str,
+        name: str,
         boot: str,
         view: FleetView,
         ledger: JobLedger,
         store: StoreClient,
         forwarder: Forwarder,
+        reader: JobReader,
     ) -> None:
-        self._node = node
-        self._boot = boot
+        # Name of this node as an owner, with its address.
+        self.name = name
+        # Nonce of this process.
+        self.boot = boot
+        self._reader = reader
+        # Runs whose texts the next owner may still ask for.
+        self._handed_over: dict[str, JobRun] = {}
+        self._beginning: dict[str, asyncio.Task[None]] = {}
         self._view = view
         self._ledger = ledger
         self._store = store
         self._forwarder = forwarder
         self._log = logger(__name__)
-        self._reward_tries = count(1)
         # Jobs that run here, by id.
         self.runs: dict[str, JobRun] = {}
-        # Once set, nothing new starts.
-        self.is_leaving = False
+        # Nothing starts before the jobs are known, nor once the process leaves.
+        self.is_enabled = False
         ledger.on_change.append(self.reconcile)
         view.on_change.append(self.pump)
 
@@ -61,10 +70,12 @@
     def reconcile(self, state: JobState) -> None:
         """Start or stop a job's run by what the ledger says."""
         run = self.runs.get(state.id)
-        should_run = state.is_open and state.owner == self._node
+        should_run = state.is_open and state.owner == self.name
         if run is not None and not should_run:
             del self.runs[state.id]
             run.stop()
+            if state.is_open:
+                self._handed_over[state.id] = run
             self._log.info(
                 "job-run-ended",
                 job=state.id,
@@ -73,8 +84,40 @@
                 results=len(state.results),
                 total=state.total,
             )
-        elif run is None and should_run and not self.is_leaving:
+        elif run is not None:
+            run.drop_listed()
+        elif should_run and self.is_enabled and state.id not in self._beginning:
+            work = self._catch_up_and_begin(state)
+            task = asyncio.get_running_loop().create_task(work)
+            self._beginning[state.id] = task
+
+    async def _catch_up_and_begin(self, state: JobState) -> None:
+        """Begin a job once all its results that the store has are known."""
+        submission = state.submission
+        assert submission is not None
+        try:
+            is_new = not self._may_have_results(state)
+            while not is_new and await self._reader.read_stored(state) is not None:
+                await asyncio.sleep(_CATCH_UP_PAUSE_S)
+            made = await self._reader.texts(state.earlier_owner, state.id)
+        finally:
+            del self._beginning[state.id]
+        if state.is_open and state.owner == self.name and self.is_enabled:
             self._begin(state)
+            if state.id in self.runs:
+                self.runs[state.id].take_texts(made)
+                self.pump()
+
+    def _may_have_results(self, state: JobState) -> bool:
+        """Whether results of a job may stand in the store that aren't known here."""
+        assert state.submission is not None
+        was_accepted_here = state.submission.boot == self.boot
+        return not (was_accepted_here and not state.owner_revision)
+
+    def texts(self, job_id: str) -> SampleTexts:
+        """Return what has been made of a job's samples here."""
+        run = self.runs.get(job_id) or self._handed_over.get(job_id)
+        return SampleTexts(()) if run is None else run.texts()
 
     def reconcile_all(self) -> None:
         """Look at every job, as when routes have come to be known."""
@@ -98,7 +141,7 @@
             route,
             self._ledger,
             self._store,
-            f"{self._node}:{self._boot}",
+            f"{self.name}:{self.boot}",
             accepted_s + (route.run_aim_s or _DEFAULT_AIM_S),
             accepted_s + (route.retention_s or _DEFAULT_RETENTION_S),
         )
@@ -106,6 +149,7 @@
         run.start()
         self._log.info(
             "job-run-begun",
+            earlier_owner=state.earlier_owner,
             job=state.id,
             step=job.step,
             model=job.model,
@@ -113,7 +157,8 @@
             open_items=len(run.samples),
             total=state.total,
         )
-        self.pump()
+        if not state.earlier_owner:
+            self.pump()
 
     # Which sample starts where.
 
@@ -127,7 +172,7 @@
 
     def pump(self) -> None:
         """Start every sample that finds an engine."""
-        if self.is_leaving:
+        if not self.is_enabled:
             return
         waiting = [sample for run in self.runs.values() for sample in run.pending()]
         for pending in start_order(waiting):
--- /dev/null
+++ b/pistachioglade/jobs/_reader.py
@@ -0,0 +1,98 @@
+"""Results of jobs that run elsewhere: from the node that runs them, or the store."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+from ..errors import ErrorKind, Refusal, refuse
+from ..links import LinkPool
+from ..logs import logger
+from ..messages import BatchRecord, FetchResults, FetchTexts, ResultBatches, SampleTexts
+from ..store import StoreClient
+from ._ledger import JobLedger, JobState
+from ._records import RESULT_KIND, RecordKind, RecordName, decode_batch
+
+#: Time for one question to another entry beside the time that it may hold the answer:
+#: the entries are a few ms apart, and a loaded one answers within a few hundred.
+_ASK_S: Final = 0.4
+
+
+def address_of(owner: str) -> str:
+    """Return the address in an owner's name."""
+    return owner.partition("@")[2]
+
+
+class JobReader:
+    """Brings a job's results up to date."""
+
+    def __init__(
+        self, own_name: str, ledger: JobLedger, store: StoreClient, links: LinkPool
+    ) -> None:
+        self._own_name = own_name
+        self._ledger = ledger
+        self._store = store
+        self._links = links
+        self._log = logger(__name__)
+
+    async def refresh(
+        self, state: JobState, after: int, hold_s: float
+    ) -> Refusal | None:
+        """Learn of the results behind a position, if there are any.
+
+        Returns a refusal if neither the owner nor the store could tell.
+        """
+        if len(state.results) > after or len(state.results) == state.total:
+            return None
+        if state.owner == self._own_name and not state.is_ended:
+            await state.wait_for_more(after, hold_s)
+            return None
+        if not state.is_ended and await self._ask_owner(state, hold_s):
+            return None
+        return await self.read_stored(state)
+
+    async def _ask_owner(self, state: JobState, hold_s: float) -> bool:
+        question = FetchResults(state.id, state.next_batch, hold_s)
+        first = state.next_batch
+        answer = await self._ask(state.owner, question, hold_s + _ASK_S)
+        if not isinstance(answer, ResultBatches) or not answer.is_running_here:
+            return False
+        for number, batch in enumerate(answer.batches, first):
+            self._ledger.add_batch(state, number, batch)
+        return True
+
+    async def _ask(self, owner: str, question: Any, timeout_s: float) -> Any:
+        address = address_of(owner)
+        if not address:
+            return refuse(ErrorKind.LINK_NOT_OPEN, f"{owner}: no address")
+        answer = await self._links.call(address, question, timeout_s)
+        if isinstance(answer, Refusal):
+            self._log.info(
+                "owner-not-reached",
+                owner=owner,
+                question=type(question).__name__,
+                reason=answer.reason,
+            )
+        return answer
+
+    async def read_stored(self, state: JobState) -> Refusal | None:
+        """Read every batch that the store has behind the known ones."""
+        while len(state.results) < state.total:
+            number = state.next_batch
+            name = str(RecordName(state.id, RecordKind.BATCH, number))
+            stored = await self._store.read(RESULT_KIND, name)
+            if isinstance(stored, Refusal):
+                return None if stored.kind is ErrorKind.NOT_FOUND else stored
+            self._ledger.add_batch(state, number, decode_batch(stored.value))
+        return None
+
+    async def texts(self, owner: str, job_id: str) -> SampleTexts:
+        """Return what an earlier owner has made of a job; nothing if it is gone."""
+        if owner in ("", self._own_name):
+            return SampleTexts(())
+        answer = await self._ask(owner, FetchTexts(job_id), _ASK_S)
+        return answer if isinstance(answer, SampleTexts) else SampleTexts(())
+
+
+def batches_from(state: JobState, first: int) -> tuple[BatchRecord, ...]:
+    """Return the known batches from a number on."""
+    return tuple(state.batches[first:])
--- a/pistachioglade/jobs/_records.py
+++ b/pistachioglade/jobs/_records.py
@@ -4,9 +4,14 @@
 idempotent, a late one is harmless, and of two writers of one position the store takes
 the first.
 
+Every entry watches the small kind of jobs:
+
     JOB              the submission, with its first owner
     JOB.owner        who runs it now, if that has changed
     JOB.end          the trainer has ended it
+
+Nobody watches results; readers get them from the owner, or read them:
+
     JOB.rN           the N-th batch of results
 """
 
@@ -18,8 +23,12 @@
 
 import attrs
 
-#: Kind of all objects of jobs.
+from ..messages import BatchRecord
+
+#: Kind of submissions, owners and ends.
 JOB_KIND: Final = "pistachioglade-jobs"
+#: Kind of batches of results.
+RESULT_KIND: Final = "pistachioglade-results"
 _BATCH_DIGITS: Final = 6
 
 
@@ -69,8 +78,10 @@
 class Submission:
     """A job as it was accepted."""
 
-    # Node that accepted it and runs it first.
+    # Entry that accepted it and runs it first: its name, an at sign, its address.
     owner: str
+    # Nonce of the process that accepted it.
+    boot: str
     # Host that it was submitted to.
     host: str
     # Path that it was submitted to.
@@ -91,28 +102,14 @@
     return Submission(**value)
 
 
-@attrs.frozen
-class Batch:
-    """Results that stand at consecutive positions."""
-
-    # Who wrote it: node, start of the process and number of the write.
-    writer: str
-    # Position of the first.
-    start: int
-    # Results, each encoded as readers get it.
-    results: tuple[str, ...]
-    # Items that they belong to, in the same order.
-    item_ids: tuple[str, ...]
-
-
-def encode_batch(batch: Batch) -> dict[str, Any]:
+def encode_batch(batch: BatchRecord) -> dict[str, Any]:
     """Return the value of a batch's object."""
     return attrs.asdict(batch, recurse=False)
 
 
-def decode_batch(value: Mapping[str, Any]) -> Batch:
+def decode_batch(value: Mapping[str, Any]) -> BatchRecord:
     """Return the batch in an object's value."""
-    return Batch(
+    return BatchRecord(
         value["writer"],
         value["start"],
         tuple(value["results"]),
--- a/pistachioglade/jobs/_sample_try.py
+++ b/pistachioglade/jobs/_sample_try.py
@@ -34,8 +34,10 @@
 
     # The text is whole.
     COMPLETE = "complete"
-    # The engine did not run it.
+    # The engine refused it.
     NOT_RUN = "not-run"
+    # There was no connection to the engine.
+    UNREACHED = "unreached"
     # The stream broke; what came of it is kept.
     BROKEN = "broken"
     # The engine failed it, after running it.
@@ -114,7 +116,7 @@
         try:
             connection = await pool.acquire()
             if isinstance(connection, Refusal):
-                return self._fault(TryResult(TryEnd.NOT_RUN, connection.reason))
+                return self._fault(TryResult(TryEnd.UNREACHED, connection.reason))
             self._exchange = self._send(connection, host, time_left_s)
             result = await self._receive(self._exchange)
             if result.end is not TryEnd.COMPLETE:
@@ -138,10 +140,11 @@
     def _fault(self, result: TryResult) -> TryResult:
         if self.is_unwanted and result.end is TryEnd.BROKEN:
             return TryResult(TryEnd.MOVED, result.reason)
-        if result.end is TryEnd.BROKEN or (
-            result.end is TryEnd.NOT_RUN and "refused" not in result.reason
-        ):
-            self._record.failed(asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        if result.end in (TryEnd.BROKEN, TryEnd.UNREACHED):
+            self._record.failed(now_s)
+        elif result.end is TryEnd.NOT_RUN:
+            self._record.refused(now_s)
         elif result.end is TryEnd.COMPLETE:
             self._record.answered()
         return result
--- a/pistachioglade/links/_client.py
+++ b/pistachioglade/links/_client.py
@@ -10,8 +10,8 @@
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from ..errors import ErrorKind, Refusal, refuse
+from ..logs import logger
 from ..messages import MAX_FRAME_BYTES, decode_frame, encode_frame
-from ..telemetry import logger
 from ._identity import Identity
 from ._traffic import Traffic
 
--- a/pistachioglade/links/_server.py
+++ b/pistachioglade/links/_server.py
@@ -13,8 +13,8 @@
 from websockets.http11 import Request, Response
 
 from ..errors import ErrorKind, Refusal, refuse
+from ..logs import logger
 from ..messages import MAX_FRAME_BYTES, decode_frame, encode_frame
-from ..telemetry import logger
 from ._client import PING_INTERVAL_S, PING_TIMEOUT_S
 from ._identity import Identity
 from ._traffic import Traffic
--- /dev/null
+++ b/pistachioglade/messages/_entries.py
@@ -0,0 +1,114 @@
+"""Messages between entries: results, probes, texts on the move, relayed store calls."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class Probe:
+    """Ask an entry whether it lives and works."""
+
+
+@attrs.frozen
+class ProbeAnswer:
+    """An entry's word on itself."""
+
+    # Nonce of the process.
+    boot: str
+    # Seconds since the store last answered it; None if it never did.
+    store_age_s: float | None
+    # Whether it is about to stop.
+    is_leaving: bool
+
+
+@attrs.frozen
+class FetchResults:
+    """Ask the node that runs a job for batches of its results."""
+
+    # Job.
+    job_id: str
+    # Number of the first batch that is wanted.
+    from_batch: int
+    # Time for which the answer may be held until there is one.
+    wait_s: float
+
+
+@attrs.frozen
+class BatchRecord:
+    """A batch of results as the store has it."""
+
+    # Who wrote it.
+    writer: str
+    # Position of its first result.
+    start: int
+    # Results, each encoded as readers get it.
+    results: tuple[str, ...]
+    # Items that they belong to, in the same order.
+    item_ids: tuple[str, ...]
+
+
+@attrs.frozen
+class ResultBatches:
+    """Batches from the one that was asked for on."""
+
+    # Batches in their order.
+    batches: tuple[BatchRecord, ...]
+    # Whether the node that answers runs the job, so that there are no others.
+    is_running_here: bool
+
+
+@attrs.frozen
+class FetchTexts:
+    """Ask the node that ran a job for what it has made of its samples."""
+
+    # Job.
+    job_id: str
+
+
+@attrs.frozen
+class TextRecord:
+    """What has been made of a sample."""
+
+    # Item that it belongs to.
+    item_id: str
+    # Data of its events in order.
+    parts: tuple[str, ...]
+    # Number of the last event.
+    last_event: int
+    # Weight versions that made an event of it.
+    versions: tuple[int, ...]
+    # Failed answers that the item got.
+    failures: int
+
+
+@attrs.frozen
+class SampleTexts:
+    """Texts of a job's samples that have no result yet."""
+
+    # Texts with one event at least.
+    texts: tuple[TextRecord, ...]
+
+
+@attrs.frozen
+class RelayCall:
+    """Ask an entry to make a call to the store for a node that can't reach it."""
+
+    # HTTP method.
+    method: str
+    # Path and query.
+    target: str
+    # Body.
+    body: bytes
+    # Time that the call may take.
+    timeout_s: float
+
+
+@attrs.frozen
+class RelayAnswer:
+    """The store's answer to a relayed call."""
+
+    # HTTP status code.
+    status: int
+    # Body.
+    body: bytes
--- a/pistachioglade/platform/_objects.py
+++ b/pistachioglade/platform/_objects.py
@@ -81,10 +81,14 @@
     return StoreCall("GET", _path(kind, name))
 
 
-def list_call(kind: str, after: str) -> StoreCall:
-    """Read the objects whose names follow ``after``."""
-    query = f"?after={quote(after, safe='')}" if after else ""
-    return StoreCall("GET", f"{_ROOT}/{quote(kind)}{query}")
+def list_call(kind: str, after: str, may_be_old: bool = False) -> StoreCall:
+    """Read the objects whose names follow ``after``.
+
+    A list that may be some seconds old costs a tenth.
+    """
+    after_part = (f"after={quote(after, safe='')}",) if after else ()
+    query = "&".join((*after_part, *(("allow-stale=1",) if may_be_old else ())))
+    return StoreCall("GET", f"{_ROOT}/{quote(kind)}{'?' if query else ''}{query}")
 
 
 def watch_call(kind: str, revision: int, wait_s: float) -> StoreCall:
--- a/pistachioglade/serving/_engine_program.py
+++ b/pistachioglade/serving/_engine_program.py
@@ -10,14 +10,18 @@
 import signal
 from typing import Final
 
+from ..decisions import should_load
 from ..errors import ErrorKind, Refusal, refuse
+from ..fleet import Instance
 from ..http1 import Pool, Response
 from ..logs import logger
 from ..platform import (
+    Address,
     EngineState,
     Entry,
     ProcessSettings,
     decode_engine_state,
+    decode_instance,
     decode_version,
     encode_weight_order,
     names,
@@ -35,6 +39,10 @@
 _IDLE_LOOK_S: Final = 2.0
 
 
+def _pair(address: Address) -> tuple[str, int]:
+    return address.host, address.port
+
+
 class EngineProgram:
     """Keeps one engine's weights at the versions that the trainers have named."""
 
@@ -47,6 +55,7 @@
         self._store = StoreClient(settings.store.host, settings.store.port)
         self._versions = Mirror(self._store, names.VERSION_KIND, self._take_version)
         self._wanted: dict[str, int] = {}
+        self._last_rank = 0
         self._has_news = asyncio.Event()
 
     def _take_version(self, entry: Entry, is_removed: bool) -> None:
@@ -95,16 +104,39 @@
         if isinstance(state, Refusal):
             self._log.warning("engine-unreadable", reason=state.reason)
             return False
-        behind = [
+        if not any(
+            state.versions.get(model, version) < version
+            for model, version in self._wanted.items()
+        ):
+            return True
+        rank = await self._rank()
+        models = sorted(state.versions)
+        due = [
             (model, version)
             for model, version in self._wanted.items()
-            if state.versions.get(model, version) < version
+            if model in state.versions
+            and should_load(rank, models, model, version, state.versions[model])
         ]
-        if not behind:
-            return True
-        if not state.is_busy:
-            await self._order(state, *behind[0])
-        return False
+        if due and not state.is_busy:
+            await self._order(state, *due[0])
+        return not due
+
+    async def _rank(self) -> int:
+        """Return this engine's place among those of its upstream."""
+        page = await self._store.page(names.INSTANCE_KIND, "", may_be_old=True)
+        if isinstance(page, Refusal):
+            return self._last_rank
+        read = [decode_instance(entry.name, entry.value) for entry in page.entries]
+        listed = [item for item in read if isinstance(item, Instance)]
+        engine = self._settings.engine
+        assert engine is not None
+        own = [item for item in listed if (item.host, item.port) == _pair(engine)]
+        if own:
+            peers = sorted(
+                item.id for item in listed if item.upstream == own[0].upstream
+            )
+            self._last_rank = peers.index(own[0].id)
+        return self._last_rank
 
     async def _state(self) -> EngineState | Refusal:
         answer = await self._call("GET", names.ENGINE_STATE_PATH, b"")
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -12,13 +12,18 @@
 
 from ..forwarding import FleetView, Forwarder
 from ..http1 import HttpServer, Reply, Request, Response, ServerLimits
-from ..jobs import JOB_KIND, JobLedger, JobOwner
+from ..jobs import JOB_KIND, JobLedger, JobOwner, JobReader
+from ..links import Identity, LinkPool, LinkServer
 from ..logs import logger
 from ..platform import ProcessSettings, names
 from ..store import Mirror, StoreClient
 from ._ingress import Ingress
 from ._job_calls import JobCalls
+from ._peers import Peers
 
+#: What entries prove to each other. The platform hands out no secret; its network
+#: keeps others off the internal ports (docs/QUESTIONS.md).
+_SHARED_SECRET: Final = ""
 #: Time between two looks at idle connections and lapsed instances.
 _HOUSEKEEPING_S: Final = 0.25
 #: Time after a stop's begin until idle connections are closed: the platform has taken
@@ -38,15 +43,33 @@
         self._view = FleetView(lambda: self._store.trouble_s)
         self._forwarder = Forwarder(self._view, settings.domain)
         self._ledger = JobLedger()
+        boot = secrets.token_hex(4)
+        self._address = f"{settings.host}:{settings.internal_port}"
+        identity = Identity(settings.node, _SHARED_SECRET)
+        links = LinkPool(identity)
+        own_name = f"{settings.node}@{self._address}"
+        reader = JobReader(own_name, self._ledger, self._store, links)
         self._owner = JobOwner(
-            settings.node,
-            secrets.token_hex(4),
+            own_name,
+            boot,
             self._view,
             self._ledger,
             self._store,
             self._forwarder,
+            reader,
+        )
+        self._peers = Peers(
+            settings.node,
+            self._address,
+            boot,
+            self._store,
+            links,
+            self._ledger,
+            self._owner,
         )
-        calls = JobCalls(settings.node, self._ledger, self._store)
+        self._store.relays = self._peers.relays
+        self._link_server = LinkServer(identity, self._peers.answer)
+        calls = JobCalls(self._owner, self._ledger, self._store, reader)
         ingress = Ingress(self._view, self._forwarder, calls)
         self._callers = HttpServer(ingress.handle, ServerLimits())
         self._readiness = HttpServer(self._answer_readiness, ServerLimits())
@@ -104,14 +127,26 @@
         assert settings.callers is not None and settings.readiness is not None
         await self._readiness.start(settings.readiness.host, settings.readiness.port)
         await self._callers.start(settings.callers.host, settings.callers.port)
-        for mirror in (self._configurations, self._instances, self._jobs):
+        await self._link_server.start(self._address)
+        mirrors = (self._configurations, self._instances, self._jobs)
+        for mirror in (*mirrors, self._peers.members):
             self._spawn(mirror.run())
+        self._spawn(self._enable_jobs())
+        self._spawn(self._peers.enrol())
+        self._spawn(self._peers.watch_neighbour())
+        self._spawn(self._peers.sweep())
         self._spawn(self._owner.look_around())
         self._spawn(self._keep_house())
         self._log.info("started", program="entry", listens=str(settings.callers))
         await self._is_leaving.wait()
         await self._leave()
 
+    async def _enable_jobs(self) -> None:
+        """Run jobs once all that the store has of them is known."""
+        await self._jobs.is_synced.wait()
+        self._owner.is_enabled = True
+        self._owner.reconcile_all()
+
     def _reload(self) -> None:
         self._log.info("reload", program="entry")
 
@@ -130,7 +165,10 @@
         self._log.info("stopping", program="entry", busy=self._callers.busy_count)
         self._callers.is_leaving = True
         limit_s = begun_s + self._settings.grace_s * _GRACE_PART
-        await asyncio.sleep(_ROTATION_S)
+        self._owner.is_enabled = False
+        await self._peers.hand_over()
+        await self._peers.strike_off()
+        await asyncio.sleep(max(0.0, begun_s + _ROTATION_S - loop.time()))
         self._callers.stop_listening()
         self._callers.close_idle()
         while self._callers.connections and loop.time() < limit_s:
--- a/pistachioglade/serving/_job_calls.py
+++ b/pistachioglade/serving/_job_calls.py
@@ -12,6 +12,8 @@
 from ..jobs import (
     JOB_KIND,
     JobLedger,
+    JobOwner,
+    JobReader,
     JobState,
     RecordKind,
     RecordName,
@@ -37,9 +39,16 @@
 class JobCalls:
     """Answers trainers from the ledger, and the store where that isn't enough."""
 
-    def __init__(self, node: str, ledger: JobLedger, store: StoreClient) -> None:
-        self._node = node
+    def __init__(
+        self,
+        owner: JobOwner,
+        ledger: JobLedger,
+        store: StoreClient,
+        reader: JobReader,
+    ) -> None:
+        self._owner = owner
         self._ledger = ledger
+        self._reader = reader
         self._store = store
         self._log = logger(__name__)
 
@@ -59,7 +68,14 @@
         job = decode_job(job_id, host, request.path, fields)
         if isinstance(job, Refusal):
             return job
-        submission = Submission(self._node, host, request.path, time.time(), fields)
+        submission = Submission(
+            self._owner.name,
+            self._owner.boot,
+            host,
+            request.path,
+            time.time(),
+            fields,
+        )
         stored = await self._store.create(
             JOB_KIND, job_id, encode_submission(submission), _ACCEPT_WITHIN_S
         )
@@ -103,8 +119,9 @@
         state = await self._find(job_id)
         if isinstance(state, Refusal):
             return state
-        if state.is_open:
-            await state.wait_for_more(after, wait_s(request.fields))
+        refusal = await self._reader.refresh(state, after, wait_s(request.fields))
+        if refusal is not None and not state.results[after:]:
+            return refuse(ErrorKind.PLATFORM_UNAVAILABLE, refusal.reason, _RETRY_S)
         page = encode_results_page(state.total, after, state.page(after))
         return Response(200, _JSON, page)
 
--- /dev/null
+++ b/pistachioglade/serving/_peers.py
@@ -0,0 +1,280 @@
+"""The other entries: their list, what they ask, and what becomes of their jobs."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import singledispatchmethod
+from typing import Any, Final
+
+from ..decisions import (
+    PROBE_INTERVAL_S,
+    PROBE_TIMEOUT_S,
+    NeighbourView,
+    heir_of,
+    is_lost,
+    is_storeless,
+    neighbour_of,
+)
+from ..errors import ErrorKind, Refusal, refuse
+from ..http1 import Response
+from ..jobs import (
+    JOB_KIND,
+    JobLedger,
+    JobOwner,
+    JobState,
+    RecordKind,
+    RecordName,
+    batches_from,
+)
+from ..links import LinkPool, Peer
+from ..logs import logger
+from ..messages import (
+    FetchResults,
+    FetchTexts,
+    Probe,
+    ProbeAnswer,
+    RelayAnswer,
+    RelayCall,
+    ResultBatches,
+    SampleTexts,
+)
+from ..platform import Entry, StoreCall
+from ..store import Mirror, Relay, StoreClient
+
+#: Kind under which entries list themselves.
+ENTRY_KIND: Final = "pistachioglade-entries"
+#: Age of a neighbour's word on the store up to which calls are sent by way of it.
+_RELAY_FRESH_S: Final = 1.0
+#: Pause between two looks at jobs whose owner is gone.
+_SWEEP_S: Final = 0.5
+#: Time for which a job's owner has to be missing from the list before its heir acts:
+#: an entry that starts again lists itself within a second.
+_ORPHAN_AFTER_S: Final = 1.5
+
+
+def node_of(owner: str) -> str:
+    """Return the node in an owner's name."""
+    return owner.partition("@")[0]
+
+
+class Peers:
+    """Answers other entries and watches the one before this one."""
+
+    def __init__(
+        self,
+        node: str,
+        address: str,
+        boot: str,
+        store: StoreClient,
+        links: LinkPool,
+        ledger: JobLedger,
+        owner: JobOwner,
+    ) -> None:
+        self._node = node
+        self._address = address
+        self._boot = boot
+        self._store = store
+        self._links = links
+        self._ledger = ledger
+        self._owner = owner
+        self._log = logger(__name__)
+        self._neighbour: str | None = None
+        self._heard_s = 0.0
+        self._answer: ProbeAnswer | None = None
+        self._orphaned_s: dict[str, float] = {}
+        # Entries by node, as the store lists them.
+        self.members = Mirror(store, ENTRY_KIND, self._member_changed)
+        # Set once the process stops.
+        self.is_leaving = False
+
+    def _now_s(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    # The list of entries.
+
+    async def enrol(self) -> None:
+        """List this entry, again whenever another has struck it off."""
+        await self.members.is_synced.wait()
+        mine = {"address": self._address, "boot": self._boot}
+        while not self.is_leaving:
+            known = self.members.entries.get(self._node)
+            if known is None:
+                stored = await self._store.create(ENTRY_KIND, self._node, mine, 2.0)
+            elif known.value != mine:
+                stored = await self._store.replace(
+                    ENTRY_KIND, self._node, mine, known.revision
+                )
+            else:
+                await asyncio.sleep(_SWEEP_S)
+                continue
+            if isinstance(stored, Entry):
+                self.members.put(stored)
+            else:
+                await asyncio.sleep(_SWEEP_S)
+
+    async def strike_off(self) -> None:
+        """Take this entry off the list, as at a planned stop."""
+        self.is_leaving = True
+        await self._store.delete(ENTRY_KIND, self._node)
+
+    def _member_changed(self, entry: Entry, is_removed: bool) -> None:
+        self._log.info("entry-gone" if is_removed else "entry-listed", entry=entry.name)
+
+    def _address_of_member(self, node: str) -> str:
+        entry = self.members.entries.get(node)
+        return "" if entry is None else entry.value["address"]
+
+    # Questions of other entries.
+
+    async def answer(self, message: Any, peer: Peer) -> Any:
+        """Answer one message."""
+        return await self._dispatch(message)
+
+    @singledispatchmethod
+    async def _dispatch(self, message: Any) -> Any:
+        return refuse(ErrorKind.BAD_REQUEST, f"not for entries: {message!r:.80}")
+
+    @_dispatch.register
+    async def _probe(self, message: Probe) -> ProbeAnswer:
+        return ProbeAnswer(self._boot, self._store.age_s, self.is_leaving)
+
+    @_dispatch.register
+    async def _results(self, message: FetchResults) -> ResultBatches:
+        run = self._owner.runs.get(message.job_id)
+        state = self._ledger.find(message.job_id)
+        if run is None or state is None:
+            return ResultBatches((), False)
+        known = sum(len(item.results) for item in state.batches[: message.from_batch])
+        await state.wait_for_more(known, message.wait_s)
+        return ResultBatches(batches_from(state, message.from_batch), True)
+
+    @_dispatch.register
+    async def _texts(self, message: FetchTexts) -> SampleTexts:
+        return self._owner.texts(message.job_id)
+
+    @_dispatch.register
+    async def _relay(self, message: RelayCall) -> RelayAnswer | Refusal:
+        call = StoreCall(message.method, message.target, message.body)
+        answer = await self._store.direct(call, message.timeout_s)
+        if isinstance(answer, Refusal):
+            return answer
+        return RelayAnswer(answer.status, answer.body)
+
+    # Ways around a store that this entry can't reach.
+
+    def relays(self) -> tuple[Relay, ...]:
+        """Return the neighbour as a way to the store while it reaches it."""
+        age_s = self._answer.store_age_s if self._answer else None
+        is_fresh = self._now_s() - self._heard_s < _RELAY_FRESH_S
+        if self._neighbour is None or age_s is None or not is_fresh:
+            return ()
+        return (self._relay_call,) if age_s < _RELAY_FRESH_S else ()
+
+    async def _relay_call(
+        self, call: StoreCall, timeout_s: float
+    ) -> Response | Refusal:
+        address = self._address_of_member(self._neighbour or "")
+        question = RelayCall(call.method, call.target, call.body, timeout_s)
+        answer = await self._links.call(address, question, timeout_s)
+        if isinstance(answer, RelayAnswer):
+            return Response(answer.status, (), answer.body)
+        assert isinstance(answer, Refusal)
+        return answer
+
+    # The neighbour.
+
+    async def watch_neighbour(self) -> None:
+        """Probe the entry before this one, and take its jobs over if it is lost."""
+        await self.members.is_synced.wait()
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            name = neighbour_of(self._node, self.members.entries)
+            if name != self._neighbour:
+                self._neighbour, self._answer = name, None
+                self._heard_s = self._now_s()
+            if name is not None:
+                await self._probe_neighbour(name)
+
+    async def _probe_neighbour(self, name: str) -> None:
+        address = self._address_of_member(name)
+        answer = await self._links.call(address, Probe(), PROBE_TIMEOUT_S)
+        if isinstance(answer, ProbeAnswer):
+            self._answer = answer
+            self._heard_s = self._now_s()
+        elif isinstance(answer, Refusal) and not answer.did_not_run:
+            # A link that has fallen silent is opened anew at the next probe.
+            await self._links.forget(address)
+        view = NeighbourView(
+            self._heard_s,
+            self._answer.store_age_s if self._answer else None,
+            self._store.age_s or 0.0,
+        )
+        if is_lost(view, self._now_s()):
+            self._log.warning(
+                "entry-lost",
+                entry=name,
+                silent_s=round(self._now_s() - self._heard_s, 3),
+            )
+            await self._inherit(name)
+            known = self.members.entries.get(name)
+            if known is not None:
+                await self._store.delete(ENTRY_KIND, name, known.revision)
+        elif is_storeless(view):
+            await self._inherit(name)
+
+    async def _inherit(self, node: str) -> None:
+        for state in tuple(self._ledger.jobs.values()):
+            if state.is_open and node_of(state.owner) == node:
+                await self.take_over(state, self._owner.name)
+
+    async def sweep(self) -> None:
+        """Take over jobs whose owner isn't listed and whose heir is this entry."""
+        await self.members.is_synced.wait()
+        while True:
+            await asyncio.sleep(_SWEEP_S)
+            listed = {
+                f"{name}@{entry.value['address']}"
+                for name, entry in self.members.entries.items()
+            }
+            orphans = [
+                state
+                for state in tuple(self._ledger.jobs.values())
+                if state.is_open and state.owner not in listed
+            ]
+            now_s = self._now_s()
+            self._orphaned_s = {
+                state.id: self._orphaned_s.get(state.id, now_s) for state in orphans
+            }
+            for state in orphans:
+                is_old = now_s - self._orphaned_s[state.id] > _ORPHAN_AFTER_S
+                heir = heir_of(node_of(state.owner), self.members.entries)
+                if is_old and heir == self._node:
+                    await self.take_over(state, self._owner.name)
+
+    async def take_over(self, state: JobState, owner: str) -> None:
+        """Write a job's new owner; of two that try, the store takes one."""
+        name = str(RecordName(state.id, RecordKind.OWNER))
+        value = {"owner": owner, "earlier": state.owner}
+        revision = state.owner_revision
+        if revision:
+            stored = await self._store.replace(JOB_KIND, name, value, revision)
+        else:
+            stored = await self._store.create(JOB_KIND, name, value, 1.0)
+        self._log.info(
+            "job-owner-changed",
+            job=state.id,
+            owner=owner,
+            earlier=state.owner,
+            outcome=stored.reason if isinstance(stored, Refusal) else "written",
+        )
+        if isinstance(stored, Entry):
+            self._ledger.take(stored, False)
+
+    async def hand_over(self) -> None:
+        """Give this entry's jobs to its heir, as at a planned stop."""
+        heir = heir_of(self._node, self.members.entries)
+        if heir is None:
+            return
+        owner = f"{heir}@{self._address_of_member(heir)}"
+        moves = [self.take_over(run.state, owner) for run in self._owner.runs.values()]
+        await asyncio.gather(*moves)
--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -55,8 +55,11 @@
         self.trouble_s: float | None = None
         # When the store last answered this node directly; None before that.
         self.answered_s: float | None = None
+        # When a call was last answered by any way; None before that.
+        self.worked_s: float | None = None
         # Calls made, for the metrics.
         self.calls = 0
+        self._regained = asyncio.Event()
 
     @property
     def is_reached(self) -> bool:
@@ -84,12 +87,29 @@
                 reason = answer.reason if isinstance(answer, Refusal) else answer.status
                 self._log.warning("dependency-lost", dependency="store", reason=reason)
             self._failed_s = self.trouble_s = now_s
+            self._regained.clear()
             return
         if self._failed_s is not None or self.answered_s is None:
             self._log.info("dependency-regained", dependency="store")
+        self._regained.set()
         self._failed_s = None
         self.answered_s = now_s
 
+    async def wait_after_failure(self, longest_s: float) -> None:
+        """Wait until a direct call has worked again, but not for ever."""
+        try:
+            async with asyncio.timeout(longest_s):
+                await self._regained.wait()
+        except TimeoutError:
+            return
+
+    @property
+    def age_s(self) -> float | None:
+        """Seconds since a call was last answered; None if none ever was."""
+        if self.worked_s is None:
+            return None
+        return asyncio.get_running_loop().time() - self.worked_s
+
     def _rests(self) -> bool:
         now_s = asyncio.get_running_loop().time()
         return self._failed_s is not None and now_s - self._failed_s < _DIRECT_REST_S
@@ -106,6 +126,8 @@
             was_taken = isinstance(answer, Refusal) and not answer.did_not_run
             if not is_refused and (not isinstance(answer, Refusal) or was_taken):
                 break
+        if isinstance(answer, Response) and answer.status not in (429, 503):
+            self.worked_s = asyncio.get_running_loop().time()
         return answer
 
     async def call(
@@ -129,9 +151,11 @@
         answer = await self.call(read_call(kind, name))
         return answer if isinstance(answer, Refusal) else _entry(answer)
 
-    async def page(self, kind: str, after: str) -> EntryPage | Refusal:
+    async def page(
+        self, kind: str, after: str, may_be_old: bool = False
+    ) -> EntryPage | Refusal:
         """Read the part of a list that follows a name."""
-        answer = await self.call(list_call(kind, after))
+        answer = await self.call(list_call(kind, after, may_be_old))
         return answer if isinstance(answer, Refusal) else decode_page(answer.body)
 
     async def changes(
--- a/pistachioglade/store/_watch.py
+++ b/pistachioglade/store/_watch.py
@@ -11,11 +11,13 @@
 from ..platform import Entry
 from ._client import StoreClient
 
-#: Time that one watch waits; with a silent connection it is also how long changes
-#: can go unseen, and has to stay under the bound for configurations (2 s and more).
-WATCH_HOLD_S: Final = 2.0
-#: Pause after a watch or list that failed.
+#: Time that one watch waits. Each is paid for; a connection that has fallen silent is
+#: found by its keep-alive probes within about 3 s, not by the end of the wait.
+WATCH_HOLD_S: Final = 10.0
+#: Least pause after a watch or list that failed.
 _PAUSE_S: Final = 0.2
+#: Longest pause; any call of the process that works ends it.
+_LONGEST_PAUSE_S: Final = 0.8
 
 #: Takes an object as it is now, or as it was when it was removed.
 OnChange = Callable[[Entry, bool], None]
@@ -49,6 +51,7 @@
         while True:
             if not await self._list():
                 await asyncio.sleep(_PAUSE_S)
+                await self._store.wait_after_failure(_LONGEST_PAUSE_S)
                 continue
             self.is_synced.set()
             await self._follow()
@@ -96,6 +99,7 @@
                     self._log.info("watch-restarted", kind=self._kind)
                     return
                 await asyncio.sleep(_PAUSE_S)
+                await self._store.wait_after_failure(_LONGEST_PAUSE_S)
                 continue
             self._touch()
             for change in told.changes:
