One home entry runs all jobs of an upstream; watches are renewed when the store is back

Ruled out: relays (no call went by them). Change: a small read each second shows that the store has gone and come back; every watch is then sent anew. And jobs of an upstream have one home (connections were the dearest price: 937 for 2,005 requests).

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -16,6 +16,7 @@
     should_move,
     usual_pace_s,
 )
+from ._job_home import home_key, home_of
 from ._keys import Attach, KeyGate, Replay, Run
 from ._lease import LeaseObserver
 from ._membership import BUCKET_COUNT, Membership
@@ -72,6 +73,8 @@
     "fingers",
     "heir_of",
     "hold_s",
+    "home_key",
+    "home_of",
     "is_fresh",
     "is_lost",
     "is_slow",
--- a/pistachioglade/http1/_pool.py
+++ b/pistachioglade/http1/_pool.py
@@ -15,7 +15,7 @@
 #: Idle time after which a connection isn't used again when the server names none.
 _DEFAULT_KEEP_S: Final = 8.0
 #: Part of the server's idle limit that is used, so that its close isn't met.
-_KEEP_PART: Final = 0.7
+_KEEP_PART: Final = 0.85
 
 
 class Pool:
--- a/pistachioglade/jobs/_job_run.py
+++ b/pistachioglade/jobs/_job_run.py
@@ -88,6 +88,11 @@
             item.id: Sample(item) for item in job.items if item.id not in state.done
         }
 
+    @property
+    def upstream(self) -> str:
+        """The upstream of most of its samples."""
+        return self.route.shares[0].upstream
+
     def start(self) -> None:
         """Start writing results as they come."""
         self.spawn(self._write_results())
--- a/pistachioglade/jobs/_ledger.py
+++ b/pistachioglade/jobs/_ledger.py
@@ -48,6 +48,8 @@
     done: set[str] = attrs.field(factory=set)
     # All batches of results that are known, from the first on.
     batches: list[BatchRecord] = attrs.field(factory=list)
+    # When this process saw its submission, in seconds of the monotonic clock.
+    first_seen_s: float = 0.0
     # Readers that wait for results.
     waiters: set[asyncio.Future[None]] = attrs.field(factory=set)
 
@@ -158,6 +160,8 @@
     def _apply(self, state: JobState, name: RecordName, entry: Entry) -> None:
         match name.kind:
             case RecordKind.SUBMISSION:
+                if state.submission is None:
+                    state.first_seen_s = asyncio.get_running_loop().time()
                 state.submission = decode_submission(entry.value)
                 state.owner = state.owner or state.submission.owner
             case RecordKind.OWNER:
--- a/pistachioglade/jobs/_owner.py
+++ b/pistachioglade/jobs/_owner.py
@@ -62,6 +62,8 @@
         self.runs: dict[str, JobRun] = {}
         # Nothing starts before the jobs are known, nor once the process leaves.
         self.is_enabled = False
+        # When jobs began to run here; what is seen for the first time later is new.
+        self.enabled_s = float("inf")
         ledger.on_change.append(self.reconcile)
         view.on_change.append(self.pump)
 
@@ -111,14 +113,21 @@
     def _may_have_results(self, state: JobState) -> bool:
         """Whether results of a job may stand in the store that aren't known here."""
         assert state.submission is not None
-        was_accepted_here = state.submission.boot == self.boot
-        return not (was_accepted_here and not state.owner_revision)
+        is_first_owner = not state.owner_revision
+        is_new = state.first_seen_s > self.enabled_s
+        return not (is_first_owner and is_new)
 
     def texts(self, job_id: str) -> SampleTexts:
         """Return what has been made of a job's samples here."""
         run = self.runs.get(job_id) or self._handed_over.get(job_id)
         return SampleTexts(()) if run is None else run.texts()
 
+    def enable(self) -> None:
+        """Run jobs, now that all that the store has of them is known."""
+        self.is_enabled = True
+        self.enabled_s = asyncio.get_running_loop().time()
+        self.reconcile_all()
+
     def reconcile_all(self) -> None:
         """Look at every job, as when routes have come to be known."""
         for state in tuple(self._ledger.jobs.values()):
--- a/pistachioglade/platform/_objects.py
+++ b/pistachioglade/platform/_objects.py
@@ -76,9 +76,9 @@
     return f"{_ROOT}/{quote(kind)}/{quote(name, safe='')}"
 
 
-def read_call(kind: str, name: str) -> StoreCall:
-    """Read one object."""
-    return StoreCall("GET", _path(kind, name))
+def read_call(kind: str, name: str, may_be_old: bool = False) -> StoreCall:
+    """Read one object; one that may be some seconds old costs a tenth."""
+    return StoreCall("GET", _path(kind, name) + ("?allow-stale=1" * may_be_old))
 
 
 def list_call(kind: str, after: str, may_be_old: bool = False) -> StoreCall:
--- a/pistachioglade/serving/_engine_program.py
+++ b/pistachioglade/serving/_engine_program.py
@@ -77,6 +77,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         tasks = [
             loop.create_task(self._versions.run()),
+            loop.create_task(self._store.beat(names.VERSION_KIND, "-")),
             loop.create_task(self._follow()),
         ]
         self._log.info("started", program="engine", engine=str(self._settings.engine))
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -19,7 +19,7 @@
 from ..store import Mirror, StoreClient
 from ._ingress import Ingress
 from ._job_calls import JobCalls
-from ._peers import Peers
+from ._peers import ENTRY_KIND, Peers
 
 #: What entries prove to each other. The platform hands out no secret; its network
 #: keeps others off the internal ports (docs/QUESTIONS.md).
@@ -61,6 +61,7 @@
         self._peers = Peers(
             settings.node,
             self._address,
+            settings.cpu_share,
             boot,
             self._store,
             links,
@@ -69,7 +70,14 @@
         )
         self._store.relays = self._peers.relays
         self._link_server = LinkServer(identity, self._peers.answer)
-        calls = JobCalls(self._owner, self._ledger, self._store, reader)
+        calls = JobCalls(
+            self._owner,
+            self._ledger,
+            self._store,
+            reader,
+            self._peers,
+            self._view,
+        )
         ingress = Ingress(self._view, self._forwarder, calls)
         self._callers = HttpServer(ingress.handle, ServerLimits())
         self._readiness = HttpServer(self._answer_readiness, ServerLimits())
@@ -131,6 +139,7 @@
         mirrors = (self._configurations, self._instances, self._jobs)
         for mirror in (*mirrors, self._peers.members):
             self._spawn(mirror.run())
+        self._spawn(self._store.beat(ENTRY_KIND, settings.node))
         self._spawn(self._enable_jobs())
         self._spawn(self._peers.enrol())
         self._spawn(self._peers.watch_neighbour())
@@ -144,8 +153,7 @@
     async def _enable_jobs(self) -> None:
         """Run jobs once all that the store has of them is known."""
         await self._jobs.is_synced.wait()
-        self._owner.is_enabled = True
-        self._owner.reconcile_all()
+        self._owner.enable()
 
     def _reload(self) -> None:
         self._log.info("reload", program="entry")
--- a/pistachioglade/serving/_job_calls.py
+++ b/pistachioglade/serving/_job_calls.py
@@ -8,6 +8,7 @@
 
 from ..errors import ErrorKind, Refusal, refuse
 from ..fleet import Route
+from ..forwarding import FleetView
 from ..http1 import Request, Response
 from ..jobs import (
     JOB_KIND,
@@ -23,6 +24,7 @@
 from ..logs import logger
 from ..platform import decode_job, encode_results_page, parse_submission, wait_s
 from ..store import StoreClient
+from ._peers import Peers
 
 #: Time within which a job's acceptance is settled with the store; then the trainer
 #: hears that it is open whether it was accepted, and comes again.
@@ -45,8 +47,12 @@
         ledger: JobLedger,
         store: StoreClient,
         reader: JobReader,
+        peers: Peers,
+        view: FleetView,
     ) -> None:
         self._owner = owner
+        self._peers = peers
+        self._view = view
         self._ledger = ledger
         self._reader = reader
         self._store = store
@@ -68,8 +74,10 @@
         job = decode_job(job_id, host, request.path, fields)
         if isinstance(job, Refusal):
             return job
+        upstream = route.shares[0].upstream
+        engines = sum(1 for _ in self._view.open_instances(upstream))
         submission = Submission(
-            self._owner.name,
+            self._peers.home_for(upstream, job.model, engines),
             self._owner.boot,
             host,
             request.path,
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -11,6 +11,8 @@
     PROBE_TIMEOUT_S,
     NeighbourView,
     heir_of,
+    home_key,
+    home_of,
     is_lost,
     is_storeless,
     neighbour_of,
@@ -64,6 +66,7 @@
         self,
         node: str,
         address: str,
+        cores: float,
         boot: str,
         store: StoreClient,
         links: LinkPool,
@@ -71,7 +74,7 @@
         owner: JobOwner,
     ) -> None:
         self._node = node
-        self._address = address
+        self._mine = {"address": address, "boot": boot, "cores": cores}
         self._boot = boot
         self._store = store
         self._links = links
@@ -95,7 +98,7 @@
     async def enrol(self) -> None:
         """List this entry, again whenever another has struck it off."""
         await self.members.is_synced.wait()
-        mine = {"address": self._address, "boot": self._boot}
+        mine = self._mine
         while not self.is_leaving:
             known = self.members.entries.get(self._node)
             if known is None:
@@ -114,7 +117,6 @@
 
     async def strike_off(self) -> None:
         """Take this entry off the list, as at a planned stop."""
-        self.is_leaving = True
         await self._store.delete(ENTRY_KIND, self._node)
 
     def _member_changed(self, entry: Entry, is_removed: bool) -> None:
@@ -124,6 +126,23 @@
         entry = self.members.entries.get(node)
         return "" if entry is None else entry.value["address"]
 
+    def home_for(self, upstream: str, model: str, engine_count: int) -> str:
+        """Return the owner's name for new jobs of a model: this entry if in doubt."""
+        cores = {
+            name: float(entry.value["cores"])
+            for name, entry in self.members.entries.items()
+            if not (self.is_leaving and name == self._node)
+        }
+        home = home_of(home_key(upstream, model, engine_count), cores)
+        if home is None or (self._is_silent(home) and not self.is_leaving):
+            return self._owner.name
+        return f"{home}@{self._address_of_member(home)}"
+
+    def _is_silent(self, name: str) -> bool:
+        """Whether a neighbour has missed a probe."""
+        is_old = self._now_s() - self._heard_s > 2 * PROBE_INTERVAL_S
+        return name == self._neighbour and is_old
+
     # Questions of other entries.
 
     async def answer(self, message: Any, peer: Peer) -> Any:
@@ -271,10 +290,10 @@
             self._ledger.take(stored, False)
 
     async def hand_over(self) -> None:
-        """Give this entry's jobs to its heir, as at a planned stop."""
-        heir = heir_of(self._node, self.members.entries)
-        if heir is None:
-            return
-        owner = f"{heir}@{self._address_of_member(heir)}"
-        moves = [self.take_over(run.state, owner) for run in self._owner.runs.values()]
+        """Give this entry's jobs to another one, as at a planned stop."""
+        self.is_leaving = True
+        moves = [
+            self.take_over(run.state, self.home_for(run.upstream, run.job.model, 0))
+            for run in tuple(self._owner.runs.values())
+        ]
         await asyncio.gather(*moves)
--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -37,6 +37,11 @@
 
 _JSON: Final = (("Content-Type", "application/json"),)
 
+#: Time between two small reads by which a process sees that the store has gone and
+#: come back; such reads cost a tenth of a call. Watches that were sent meanwhile may
+#: never be answered, and are sent anew.
+_BEAT_S: Final = 1.0
+
 #: Makes a call by way of another node.
 Relay = Callable[[StoreCall, float], Awaitable[Response | Refusal]]
 
@@ -60,6 +65,7 @@
         # Calls made, for the metrics.
         self.calls = 0
         self._regained = asyncio.Event()
+        self._renewals: set[asyncio.Future[None]] = set()
 
     @property
     def is_reached(self) -> bool:
@@ -91,10 +97,32 @@
             return
         if self._failed_s is not None or self.answered_s is None:
             self._log.info("dependency-regained", dependency="store")
+            self._renew()
         self._regained.set()
         self._failed_s = None
         self.answered_s = now_s
 
+    def _renew(self) -> None:
+        for waiter in self._renewals:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    def renewal(self) -> asyncio.Future[None]:
+        """Return a future that is done when the store has come back."""
+        waiter = asyncio.get_running_loop().create_future()
+        self._renewals.add(waiter)
+        waiter.add_done_callback(self._renewals.discard)
+        return waiter
+
+    async def beat(self, kind: str, name: str) -> None:
+        """Read a small object, which need not exist, whenever nothing else is."""
+        call = read_call(kind, name, may_be_old=True)
+        while True:
+            await asyncio.sleep(_BEAT_S)
+            answered_s = self.answered_s or 0.0
+            if asyncio.get_running_loop().time() - answered_s >= _BEAT_S / 2:
+                await self.direct(call, CALL_TIMEOUT_S)
+
     async def wait_after_failure(self, longest_s: float) -> None:
         """Wait until a direct call has worked again, but not for ever."""
         try:
--- a/pistachioglade/store/_watch.py
+++ b/pistachioglade/store/_watch.py
@@ -8,7 +8,7 @@
 
 from ..errors import ErrorKind, Refusal
 from ..logs import logger
-from ..platform import Entry
+from ..platform import Entry, EntryChanges
 from ._client import StoreClient
 
 #: Time that one watch waits. Each is paid for; a connection that has fallen silent is
@@ -93,7 +93,9 @@
     async def _follow(self) -> None:
         """Watch until the history that is needed is gone."""
         while True:
-            told = await self._store.changes(self._kind, self._revision, self._hold_s)
+            told = await self._changes()
+            if told is None:
+                continue
             if isinstance(told, Refusal):
                 if told.kind is ErrorKind.HISTORY_GONE:
                     self._log.info("watch-restarted", kind=self._kind)
@@ -109,6 +111,19 @@
                     self._apply(change.entry, change.is_removed)
             self._revision = max(self._revision, told.revision)
 
+    async def _changes(self) -> EntryChanges | Refusal | None:
+        """Watch once; None if the store came back meanwhile, so that it starts anew."""
+        renewal = self._store.renewal()
+        watch = asyncio.get_running_loop().create_task(
+            self._store.changes(self._kind, self._revision, self._hold_s)
+        )
+        try:
+            await asyncio.wait((watch, renewal), return_when=asyncio.FIRST_COMPLETED)
+            return watch.result() if watch.done() else None
+        finally:
+            renewal.cancel()
+            watch.cancel()
+
     def _touch(self) -> None:
         self.seen_s = asyncio.get_running_loop().time()
 
