A placed sample counts at its engine at once; unfinished texts are saved to the store

And a death of the node began samples of seven seconds anew. Also: a beat did not count as an answer of the store, so that healthy entries lost their jobs. Ruled out: engines' own load words (they came after the sends).

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -5,6 +5,11 @@
 """
 
 from ._call_tries import CallPolicy, may_try_again, refusal_wait_s, try_time_s
+from ._checkpoints import (
+    CHECKPOINT_INTERVAL_S,
+    LEAST_SAVED_EVENTS,
+    should_save,
+)
 from ._choice import CallChooser, Candidate, ChooserSettings
 from ._fairness import FairQueue
 from ._hashing import rendezvous_order, stable_hash
@@ -41,6 +46,8 @@
 
 __all__ = [
     "BUCKET_COUNT",
+    "CHECKPOINT_INTERVAL_S",
+    "LEAST_SAVED_EVENTS",
     "MAX_LAG",
     "PROBE_INTERVAL_S",
     "PROBE_TIMEOUT_S",
@@ -86,6 +93,7 @@
     "rendezvous_order",
     "should_load",
     "should_move",
+    "should_save",
     "slow_agents",
     "stable_hash",
     "start_order",
--- a/pistachioglade/jobs/_job_run.py
+++ b/pistachioglade/jobs/_job_run.py
@@ -10,11 +10,17 @@
 
 import attrs
 
-from ..decisions import PendingSample, batch_wait_s
+from ..decisions import (
+    CHECKPOINT_INTERVAL_S,
+    LEAST_SAVED_EVENTS,
+    PendingSample,
+    batch_wait_s,
+    should_save,
+)
 from ..errors import Refusal
 from ..fleet import Item, Job, Result, Route
 from ..logs import logger
-from ..messages import BatchRecord, SampleTexts, TextRecord
+from ..messages import BatchRecord, SampleTexts, TextRecord, unstructure
 from ..platform import Entry, encode_result
 from ..store import StoreClient
 from ._ledger import JobLedger, JobState
@@ -96,8 +102,9 @@
     def start(self) -> None:
         """Start writing results as they come."""
         self.spawn(self._write_results())
+        self.spawn(self._save_texts())
 
-    def spawn(self, work: Awaitable[None]) -> None:
+    def spawn(self, work: Awaitable[None]) -> asyncio.Task[None]:
         """Run work that ends with the job."""
 
         async def run() -> None:
@@ -107,6 +114,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         task.add_done_callback(self._report_crash)
+        return task
 
     def _report_crash(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and task.exception() is not None:
@@ -207,6 +215,31 @@
 
     # Writing.
 
+    async def _save_texts(self) -> None:
+        """Save unfinished texts now and then, so that a death costs little."""
+        name = str(RecordName(self.job.id, RecordKind.TEXTS))
+        is_created = False
+        saved_events = 0
+        while True:
+            await asyncio.sleep(CHECKPOINT_INTERVAL_S)
+            made = [
+                item
+                for item in self.texts().texts
+                if len(item.parts) >= LEAST_SAVED_EVENTS
+            ]
+            events = sum(len(item.parts) for item in made)
+            if not should_save(abs(events - saved_events), CHECKPOINT_INTERVAL_S):
+                continue
+            value = unstructure(SampleTexts(tuple(made)))
+            stored: object
+            if is_created:
+                stored = await self._store.replace(RESULT_KIND, name, value, None)
+            else:
+                stored = await self._store.create(RESULT_KIND, name, value, 1.0)
+            if isinstance(stored, Entry):
+                is_created = True
+                saved_events = events
+
     def _wait_s(self) -> float:
         open_groups = {sample.item.group for sample in self.samples.values()}
         whole = len(self._groups) - len(open_groups)
--- a/pistachioglade/jobs/_owner.py
+++ b/pistachioglade/jobs/_owner.py
@@ -101,7 +101,7 @@
             is_new = not self._may_have_results(state)
             while not is_new and await self._reader.read_stored(state) is not None:
                 await asyncio.sleep(_CATCH_UP_PAUSE_S)
-            made = await self._reader.texts(state.earlier_owner, state.id)
+            made = await self._made_before(state)
         finally:
             del self._beginning[state.id]
         if state.is_open and state.owner == self.name and self.is_enabled:
@@ -110,6 +110,16 @@
                 self.runs[state.id].take_texts(made)
                 self.pump()
 
+    async def _made_before(self, state: JobState) -> SampleTexts:
+        """Return the texts that an earlier owner, or process, has made."""
+        if not self._may_have_results(state):
+            return SampleTexts(())
+        if state.earlier_owner:
+            told = await self._reader.texts(state.earlier_owner, state.id)
+            if told.texts:
+                return told
+        return await self._reader.saved_texts(state.id)
+
     def _may_have_results(self, state: JobState) -> bool:
         """Whether results of a job may stand in the store that aren't known here."""
         assert state.submission is not None
@@ -183,15 +193,29 @@
         """Start every sample that finds an engine."""
         if not self.is_enabled:
             return
+        now_s = asyncio.get_running_loop().time()
+        if not any(item.free_slots(now_s) > 0 for item in self._view.records.values()):
+            return
         waiting = [sample for run in self.runs.values() for sample in run.pending()]
         for pending in start_order(waiting):
             run = self.runs[pending.job_id]
             sample = run.samples[pending.item_id]
             instance = self._place(run, sample)
             if instance is not None:
-                sample.is_waiting = False
-                sample.running_at = instance.id
-                run.spawn(self._run_sample(run, sample, instance))
+                self._start(run, sample, instance)
+
+    def _start(self, run: JobRun, sample: Sample, instance: Instance) -> None:
+        """Start a sample; it counts at its engine before its task has run."""
+        record = self._view.records[instance.id]
+        sample.is_waiting = False
+        sample.running_at = instance.id
+        record.outstanding += 1
+        task = run.spawn(self._run_sample(run, sample, instance))
+
+        def ended(_task: asyncio.Task[None]) -> None:
+            record.outstanding -= 1
+
+        task.add_done_callback(ended)
 
     def _candidates(self, run: JobRun, sample: Sample) -> list[Instance]:
         upstream = choose_upstream(run.route, sample.item.id)
@@ -277,8 +301,8 @@
         )
         self._log_try(run, sample, instance, result, resumed_after, begun_s)
         if run.took_try(sample, result):
-            await self._finish(run, sample)
-        self.pump()
+            run.spawn(self._finish(run, sample))
+        asyncio.get_running_loop().call_soon(self.pump)
 
     def _log_try(
         self,
--- a/pistachioglade/jobs/_reader.py
+++ b/pistachioglade/jobs/_reader.py
@@ -7,7 +7,14 @@
 from ..errors import ErrorKind, Refusal, refuse
 from ..links import LinkPool
 from ..logs import logger
-from ..messages import BatchRecord, FetchResults, FetchTexts, ResultBatches, SampleTexts
+from ..messages import (
+    BatchRecord,
+    FetchResults,
+    FetchTexts,
+    ResultBatches,
+    SampleTexts,
+    structure,
+)
 from ..store import StoreClient
 from ._ledger import JobLedger, JobState
 from ._records import RESULT_KIND, RecordKind, RecordName, decode_batch
@@ -92,6 +99,14 @@
         answer = await self._ask(owner, FetchTexts(job_id), _ASK_S)
         return answer if isinstance(answer, SampleTexts) else SampleTexts(())
 
+    async def saved_texts(self, job_id: str) -> SampleTexts:
+        """Return the texts that a job's owner has saved last; nothing if none."""
+        name = str(RecordName(job_id, RecordKind.TEXTS))
+        stored = await self._store.read(RESULT_KIND, name)
+        if isinstance(stored, Refusal):
+            return SampleTexts(())
+        return structure(stored.value, SampleTexts)
+
 
 def batches_from(state: JobState, first: int) -> tuple[BatchRecord, ...]:
     """Return the known batches from a number on."""
--- a/pistachioglade/jobs/_records.py
+++ b/pistachioglade/jobs/_records.py
@@ -13,6 +13,8 @@
 Nobody watches results; readers get them from the owner, or read them:
 
     JOB.rN           the N-th batch of results
+    JOB.texts        texts of samples that are not finished; the one object that is
+                     replaced, since losing any state of it costs only time
 """
 
 from __future__ import annotations
@@ -39,6 +41,7 @@
     OWNER = "owner"
     END = "end"
     BATCH = "r"
+    TEXTS = "texts"
 
 
 @attrs.frozen
--- a/pistachioglade/jobs/_sample_try.py
+++ b/pistachioglade/jobs/_sample_try.py
@@ -84,7 +84,10 @@
 
 
 class SampleTry:
-    """Runs an item at one engine and adds to its text."""
+    """Runs an item at one engine and adds to its text.
+
+    Whoever starts it counts it as outstanding at the engine, from its placement on.
+    """
 
     def __init__(
         self,
@@ -110,7 +113,6 @@
 
     async def run(self, host: str, time_left_s: float) -> TryResult:
         """Run to the end of the stream, or to what ends it sooner."""
-        self._record.outstanding += 1
         connection: ClientConnection | Refusal | None = None
         pool = self._view.pools[self._instance.id]
         try:
@@ -127,7 +129,6 @@
                 connection.close()
             raise
         finally:
-            self._record.outstanding -= 1
             if isinstance(connection, ClientConnection):
                 pool.release(connection)
 
--- a/pistachioglade/platform/_objects.py
+++ b/pistachioglade/platform/_objects.py
@@ -103,9 +103,10 @@
     return StoreCall("POST", f"{_ROOT}/{quote(kind)}", json.dumps(body).encode())
 
 
-def replace_call(kind: str, name: str, value: Any, revision: int) -> StoreCall:
-    """Replace an object that still has a revision."""
-    body = {"metadata": {"name": name, "revision": revision}, "specification": value}
+def replace_call(kind: str, name: str, value: Any, revision: int | None) -> StoreCall:
+    """Replace an object, if it still has a revision where one is given."""
+    metadata = {"name": name} | ({} if revision is None else {"revision": revision})
+    body = {"metadata": metadata, "specification": value}
     return StoreCall("PUT", _path(kind, name), json.dumps(body).encode())
 
 
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -234,17 +234,17 @@
                 entry=name,
                 silent_s=round(self._now_s() - self._heard_s, 3),
             )
-            await self._inherit(name)
+            await self._inherit(name, is_alive=False)
             known = self.members.entries.get(name)
             if known is not None:
                 await self._store.delete(ENTRY_KIND, name, known.revision)
         elif is_storeless(view):
-            await self._inherit(name)
+            await self._inherit(name, is_alive=True)
 
-    async def _inherit(self, node: str) -> None:
+    async def _inherit(self, node: str, is_alive: bool) -> None:
         for state in tuple(self._ledger.jobs.values()):
             if state.is_open and node_of(state.owner) == node:
-                await self.take_over(state, self._owner.name)
+                await self.take_over(state, self._owner.name, is_alive)
 
     async def sweep(self) -> None:
         """Take over jobs whose owner isn't listed and whose heir is this entry."""
@@ -268,12 +268,15 @@
                 is_old = now_s - self._orphaned_s[state.id] > _ORPHAN_AFTER_S
                 heir = heir_of(node_of(state.owner), self.members.entries)
                 if is_old and heir == self._node:
-                    await self.take_over(state, self._owner.name)
+                    await self.take_over(state, self._owner.name, False)
 
-    async def take_over(self, state: JobState, owner: str) -> None:
-        """Write a job's new owner; of two that try, the store takes one."""
+    async def take_over(self, state: JobState, owner: str, can_ask: bool) -> None:
+        """Write a job's new owner; of two that try, the store takes one.
+
+        ``can_ask`` tells whether the earlier owner lives and can hand texts over.
+        """
         name = str(RecordName(state.id, RecordKind.OWNER))
-        value = {"owner": owner, "earlier": state.owner}
+        value = {"owner": owner, "earlier": state.owner if can_ask else ""}
         revision = state.owner_revision
         if revision:
             stored = await self._store.replace(JOB_KIND, name, value, revision)
@@ -293,7 +296,9 @@
         """Give this entry's jobs to another one, as at a planned stop."""
         self.is_leaving = True
         moves = [
-            self.take_over(run.state, self.home_for(run.upstream, run.job.model, 0))
+            self.take_over(
+                run.state, self.home_for(run.upstream, run.job.model, 0), True
+            )
             for run in tuple(self._owner.runs.values())
         ]
         await asyncio.gather(*moves)
--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -100,7 +100,7 @@
             self._renew()
         self._regained.set()
         self._failed_s = None
-        self.answered_s = now_s
+        self.answered_s = self.worked_s = now_s
 
     def _renew(self) -> None:
         for waiter in self._renewals:
@@ -230,9 +230,9 @@
         return refuse(kind_left, refusal.reason)
 
     async def replace(
-        self, kind: str, name: str, value: Any, revision: int
+        self, kind: str, name: str, value: Any, revision: int | None
     ) -> Entry | Refusal:
-        """Replace an object that still has a revision, once."""
+        """Replace an object, if it still has a revision where one is given, once."""
         answer = await self.call(replace_call(kind, name, value, revision))
         return answer if isinstance(answer, Refusal) else _entry(answer)
 
