The longest sample of a step starts first

Cause: steps last as long as their longest samples (up to 197 events of 38 ms), and these started in the order of groups.

--- a/pistachioglade/decisions/_sample_order.py
+++ b/pistachioglade/decisions/_sample_order.py
@@ -1,10 +1,11 @@
 """In which order the samples of all jobs of one node start.
 
 The load it answers: two to four trainers whose steps of some sixty samples arrive
-together, while a step is worth only the groups that are whole by its due time. The step
-that is due first goes first; in it, groups that came before (a trainer always waits for
-these) and groups that are nearest to whole; in a group, the longest sample first, since
-the group is whole only with its last.
+together, of which a few are ten times as long as the others; a step is worth the groups
+that are whole by its due time, and is over when nine tenths of them are. The step that
+is due first goes first; in it, groups that came before (a trainer always waits for
+these); then the longest sample first, since a long one that starts late is what a step
+waits for, while the short ones fill the slots that come free.
 """
 
 from __future__ import annotations
@@ -44,9 +45,9 @@
             not item.is_begun,
             item.due_s,
             not item.is_carried,
+            -(item.expected_tokens or 0),
             item.group_open,
             item.group_index,
-            -(item.expected_tokens or 0),
             item.item_id,
         ),
     )
