--- a/pistachioglade/backing/_object_api.py
+++ b/pistachioglade/backing/_object_api.py
@@ -2,13 +2,25 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any, Final
-from urllib.parse import quote
 
 import attrs
 
 from ..errors import ErrorKind, Refusal, refuse
+from ..http1 import Response
+from ..platform import (
+    Entry,
+    StoreCall,
+    create_call,
+    decode_changes,
+    decode_entry,
+    decode_page,
+    list_call,
+    read_call,
+    refusal_of,
+    replace_call,
+    watch_call,
+)
 from ._http import HttpReply, HttpSession
 
 #: Time that one call may take.
@@ -28,28 +40,39 @@
 
 
 class ObjectApi:
-    """A blocking client; controllers call it from threads."""
+    """A blocking client; controllers call it from threads.
+
+    The first part of a path is the kind of the object, the rest its name.
+    """
 
     def __init__(self, base_url: str) -> None:
         self._http = HttpSession(base_url)
 
     def get(self, path: str) -> StoredObject | Refusal:
         """Read one object."""
-        reply = self._call("GET", _object_path(path))
+        reply = self._call(read_call(*_split(path)))
         if isinstance(reply, Refusal):
             return reply
-        fields = reply.json()
-        return StoredObject(path, fields["version"], fields["value"])
+        return _stored(path, decode_entry(reply.json()))
 
     def list(self, prefix: str) -> tuple[StoredObject, ...] | Refusal:
         """Read every object below a prefix."""
-        reply = self._call("GET", f"/v1/list?prefix={quote(prefix)}")
-        if isinstance(reply, Refusal):
-            return reply
-        return tuple(
-            StoredObject(item["path"], item["version"], item["value"])
-            for item in reply.json()["objects"]
-        )
+        kind, start = _split(prefix)
+        found: list[StoredObject] = []
+        after = ""
+        while True:
+            reply = self._call(list_call(kind, after))
+            if isinstance(reply, Refusal):
+                return reply
+            page = decode_page(reply.body)
+            found.extend(
+                _stored(f"{kind}/{entry.name}", entry)
+                for entry in page.entries
+                if entry.name.startswith(start)
+            )
+            if not page.has_more or not page.entries:
+                return tuple(found)
+            after = page.entries[-1].name
 
     def put(self, path: str, value: Any, if_version: int) -> int | Refusal:
         """Write if the object has ``if_version`` (0 if it must not exist).
@@ -57,60 +80,60 @@
         Returns the new version. A refusal of kind PLATFORM_UNCERTAIN means that
         the write may have taken effect.
         """
-        target = f"{_object_path(path)}?if_version={if_version}"
-        reply = self._call("PUT", target, json.dumps(value).encode())
+        kind, name = _split(path)
+        if if_version:
+            call = replace_call(kind, name, value, if_version)
+        else:
+            call = create_call(kind, name, value)
+        reply = self._call(call)
         if isinstance(reply, Refusal):
             return reply
-        version: int = reply.json()["version"]
-        return version
+        return decode_entry(reply.json()).revision
 
     def watch(
         self, path: str, after_version: int, wait_s: float
     ) -> StoredObject | Refusal | None:
         """Wait for a version after ``after_version``; None if none came."""
-        target = f"/v1/watch/{quote(path)}?after={after_version}&wait_s={wait_s}"
-        reply = self._call("GET", target, timeout_s=wait_s + CALL_TIMEOUT_S)
+        kind, name = _split(path)
+        call = watch_call(kind, after_version, wait_s)
+        reply = self._call(call, timeout_s=wait_s + CALL_TIMEOUT_S)
         if isinstance(reply, Refusal):
-            return reply
-        if reply.status == 204:
-            return None
-        fields = reply.json()
-        return StoredObject(path, fields["version"], fields["value"])
+            if reply.kind is not ErrorKind.HISTORY_GONE:
+                return reply
+            found = self.get(path)
+            is_new = isinstance(found, Refusal) or found.version > after_version
+            return found if is_new else None
+        entries = [
+            change.entry
+            for change in decode_changes(reply.body).changes
+            if change.entry.name == name and not change.is_removed
+        ]
+        return _stored(path, entries[-1]) if entries else None
 
     def _call(
-        self,
-        method: str,
-        target: str,
-        body: bytes | None = None,
-        timeout_s: float = CALL_TIMEOUT_S,
+        self, call: StoreCall, timeout_s: float = CALL_TIMEOUT_S
     ) -> HttpReply | Refusal:
-        reply = self._http.request(method, target, timeout_s, body)
-        is_write = method != "GET"
+        reply = self._http.request(
+            call.method, call.target, timeout_s, call.body or None
+        )
+        is_write = call.method != "GET"
         if isinstance(reply, Refusal):
             return _lost(reply, is_write)
-        if reply.status < 300:
-            return reply
-        return _refused(reply, is_write)
+        answer = Response(reply.status, tuple(reply.headers.items()), reply.body)
+        return refusal_of(answer, is_write) or reply
+
+
+def _split(path: str) -> tuple[str, str]:
+    """Return the kind and the name of a path; a root is the one object of its kind."""
+    kind, _, name = path.partition("/")
+    return kind, name or ("" if path.endswith("/") else kind)
 
 
-def _object_path(path: str) -> str:
-    return f"/v1/objects/{quote(path)}"
+def _stored(path: str, entry: Entry) -> StoredObject:
+    return StoredObject(path, entry.revision, entry.value)
 
 
 def _lost(refusal: Refusal, is_write: bool) -> Refusal:
     if is_write and not refusal.did_not_run:
         return refuse(ErrorKind.PLATFORM_UNCERTAIN, refusal.reason)
     return refuse(ErrorKind.PLATFORM_UNAVAILABLE, refusal.reason)
-
-
-def _refused(reply: HttpReply, is_write: bool) -> Refusal:
-    reason = f"object API answered {reply.status}"
-    if reply.status == 404:
-        return refuse(ErrorKind.NOT_FOUND, reason)
-    if reply.status == 409:
-        return refuse(ErrorKind.CONFLICT, reason)
-    if reply.status == 413:
-        return refuse(ErrorKind.TOO_LARGE, reason)
-    if reply.status >= 500 and is_write and reply.status != 503:
-        return refuse(ErrorKind.PLATFORM_UNCERTAIN, reason)
-    return refuse(ErrorKind.PLATFORM_UNAVAILABLE, reason)
--- a/pistachioglade/forwarding/_fleet_view.py
+++ b/pistachioglade/forwarding/_fleet_view.py
@@ -84,11 +84,11 @@
         trouble_s = self._store_trouble_s()
         now_s = self._now_s()
         is_leaving = self.instances[instance_id].is_leaving
-        if trouble_s is not None and now_s - trouble_s < _OUTAGE_ECHO_S:
-            if not is_leaving:
-                self._lapsed.setdefault(instance_id, now_s + _LAPSE_GRACE_S)
-                self._log.info("instance-lapsed", instance=instance_id)
-                return
+        is_echo = trouble_s is not None and now_s - trouble_s < _OUTAGE_ECHO_S
+        if is_echo and not is_leaving:
+            self._lapsed.setdefault(instance_id, now_s + _LAPSE_GRACE_S)
+            self._log.info("instance-lapsed", instance=instance_id)
+            return
         self._forget(instance_id)
 
     def _forget(self, instance_id: str) -> None:
