Readers get pages instead of whole copies; a takeover is sealed; a home for each model

Store calls: 17 entries woke at each load of 19 engines. Change: the owner answers by position; a new owner takes the next batch number with an empty batch before it begins, and who meets a foreign batch stops and reads who owns the job; changes are gathered for 0.3 to 0.8 s; owners are told of new records over links; engines poll versions by cheap reads; homes by model above ten engines, on entries with enough processor and link.

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -21,7 +21,7 @@
     should_move,
     usual_pace_s,
 )
-from ._job_home import home_key, home_of
+from ._job_home import capacity_of, home_key, home_of
 from ._keys import Attach, KeyGate, Replay, Run
 from ._lease import LeaseObserver
 from ._membership import BUCKET_COUNT, Membership
@@ -74,6 +74,7 @@
     "StepPolicy",
     "VersionPace",
     "batch_wait_s",
+    "capacity_of",
     "choose_for_call",
     "choose_for_sample",
     "fetch_sources",
--- a/pistachioglade/decisions/_job_home.py
+++ b/pistachioglade/decisions/_job_home.py
@@ -14,12 +14,20 @@
 
 from ._hashing import rendezvous_order
 
-#: Engines that one entry feeds: 114 slots at 26 events a second are 3,000 events, about
-#: a quarter of a core. Beyond it, each model of the upstream has a home of its own.
-_ENGINES_PER_HOME: Final = 24
-#: Entries with less than this part of the largest entry's processor are no homes while
+#: Engines that one entry feeds: 80 slots at 26 events a second are 2,000, a fifth
+#: of a core and 7 Mbit/s. Beyond it, each model of the upstream has a home of its own.
+_ENGINES_PER_HOME: Final = 10
+#: Entries with less than this part of the largest entry's capacity are no homes while
 #: larger ones are there.
 _LEAST_PART: Final = 0.5
+#: Link that goes with one core: an entry that moves 2,000 events in and their results
+#: out again to the store and to readers needs some 20 Mbit/s for a fifth of a core.
+_MBPS_PER_CORE: Final = 100.0
+
+
+def capacity_of(cores: float, link_mbps: float) -> float:
+    """Return what an entry can bear, in cores; the scarcer of processor and link."""
+    return min(cores, link_mbps / _MBPS_PER_CORE)
 
 
 def home_key(upstream: str, model: str, engine_count: int) -> str:
@@ -27,10 +35,8 @@
     return upstream if engine_count <= _ENGINES_PER_HOME else f"{upstream}/{model}"
 
 
-def home_of(key: str, cores_by_entry: Mapping[str, float]) -> str | None:
+def home_of(key: str, capacities: Mapping[str, float]) -> str | None:
     """Return the entry that runs the jobs of a key; None if there is none."""
-    most = max(cores_by_entry.values(), default=0.0)
-    able = [
-        name for name, cores in cores_by_entry.items() if cores >= most * _LEAST_PART
-    ]
+    most = max(capacities.values(), default=0.0)
+    able = [name for name, part in capacities.items() if part >= most * _LEAST_PART]
     return next(iter(rendezvous_order(key, able)), None)
--- /dev/null
+++ b/pistachioglade/decisions/tests/test_instance_choice.py
@@ -0,0 +1,166 @@
+"""Where lookups and samples go, and when a sample moves."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+
+from .. import (
+    InstanceRecord,
+    choose_for_call,
+    choose_for_sample,
+    is_slow,
+    should_move,
+    usual_pace_s,
+)
+
+
+def _record(
+    domain: str = "a", slots: int = 8, outstanding: int = 0, gap_s: float | None = None
+) -> InstanceRecord:
+    record = InstanceRecord(domain, slots, outstanding=outstanding)
+    if gap_s is not None:
+        record.paced(gap_s, 0.0)
+    return record
+
+
+_CALLS = {
+    # name: (records, chosen)
+    "the own domain": ({"x": _record("b"), "y": _record("a")}, "y"),
+    "a few more requests at home": (
+        {"x": _record("b", 6), "y": _record("a", 6, 1)},
+        "y",
+    ),
+    "far, when home is half full": (
+        {"x": _record("b", 6), "y": _record("a", 6, 3)},
+        "x",
+    ),
+    "far, when home is full": ({"x": _record("b", 6, 5), "y": _record("a", 6, 6)}, "x"),
+    "a full one, if it is the only one": ({"y": _record("a", 6, 6)}, "y"),
+    "none": ({}, None),
+}
+
+
+@pytest.mark.parametrize("name", _CALLS)
+def test_calls(name: str) -> None:
+    records, chosen = _CALLS[name]
+    assert choose_for_call(tuple(records.items()), "a", 0.0) == chosen
+
+
+def test_an_instance_that_failed_rests_twice_as_long_each_time() -> None:
+    record = _record()
+    rests = []
+    for _ in range(6):
+        record.failed(10.0)
+        rests.append(record.rests_until_s - 10.0)
+    assert rests == [0.25, 0.5, 1.0, 2.0, 3.0, 3.0]
+    record.answered()
+    assert not record.is_resting(10.0)
+
+
+def test_a_refusal_pauses_for_less_than_a_failure() -> None:
+    refused, failed = _record(), _record()
+    refused.refused(0.0)
+    failed.failed(0.0)
+    assert 0.0 < refused.rests_until_s < failed.rests_until_s
+
+
+def test_a_word_on_load_is_believed_for_a_moment_only() -> None:
+    record = _record(outstanding=2)
+    record.told_load(7, 1, 0.0)
+    assert record.free_slots(0.1) == 0
+    assert record.free_slots(1.0) == 6
+
+
+_SAMPLES = {
+    # name: (records, homes, avoided, chosen)
+    "home, while it has room": (
+        {"x": _record(), "y": _record(outstanding=4)},
+        {"y"},
+        None,
+        "y",
+    ),
+    "elsewhere, when home is full": (
+        {"x": _record(outstanding=6), "y": _record(outstanding=8)},
+        {"y"},
+        None,
+        "x",
+    ),
+    "not where it was lost": ({"x": _record()}, set(), "x", None),
+    "no slow one beside a sound one": (
+        {"x": _record(gap_s=0.15), "y": _record(outstanding=6, gap_s=0.04)}
+        | {"z": _record(outstanding=8, gap_s=0.04)},
+        set(),
+        None,
+        "y",
+    ),
+    "nowhere, when all are full": ({"x": _record(outstanding=8)}, set(), None, None),
+}
+
+
+@pytest.mark.parametrize("name", _SAMPLES)
+def test_samples(name: str) -> None:
+    records, homes, avoided, chosen = _SAMPLES[name]
+    found = choose_for_sample(tuple(records.items()), homes, avoided, 0.0)
+    assert found == chosen
+
+
+def test_a_step_is_spread_over_all_engines() -> None:
+    """Plays a step of 12 groups of 4 on 4 engines of 8 slots, as placement sees it."""
+    records = {f"engine-{number}": _record() for number in range(4)}
+    homes: dict[int, set[str]] = {}
+    placed: Counter[str] = Counter()
+    refused = 0
+    order = [(group, item) for group in range(12) for item in range(4)]
+    random.Random(1).shuffle(order)
+    for group, _item in order:
+        mine = homes.setdefault(group, set())
+        chosen = choose_for_sample(tuple(records.items()), mine, None, 0.0)
+        if chosen is None:
+            refused += 1
+            continue
+        records[chosen].outstanding += 1
+        mine.add(chosen)
+        placed[chosen] += 1
+    assert set(placed.values()) == {8}
+    assert refused == 16
+
+
+def test_a_halt_is_no_pace() -> None:
+    record = _record(gap_s=0.04)
+    record.paced(0.9, 1.0)
+    assert record.pace_s(1.0) == 0.04
+
+
+def test_an_old_pace_tells_nothing() -> None:
+    record = _record(gap_s=0.04)
+    assert record.pace_s(30.0) is None
+    record.paced(0.2, 30.0)
+    assert record.pace_s(30.0) == 0.2
+
+
+_MOVES = {
+    # name: (its pace, its peers, events left, whether it moves)
+    "off a slow engine": (0.15, [(0.04, 2), (0.04, 3)], 40, True),
+    "with no estimate": (0.15, [(0.04, 2), (0.04, 3)], None, True),
+    "not for the last events": (0.15, [(0.04, 2), (0.04, 3)], 2, False),
+    "not off a usual engine": (0.045, [(0.04, 2), (0.04, 3)], 40, False),
+    "not when the others are full": (0.15, [(0.04, 8), (0.04, 8)], 40, False),
+    "not to another slow one": (0.15, [(0.16, 0), (0.04, 8), (0.04, 8)], 40, False),
+}
+
+
+@pytest.mark.parametrize("name", _MOVES)
+def test_moves(name: str) -> None:
+    gap_s, peers, left, moves = _MOVES[name]
+    record = _record(gap_s=gap_s)
+    others = [_record(outstanding=load, gap_s=pace_s) for pace_s, load in peers]
+    assert should_move(record, others, left, 0.0) is moves
+
+
+def test_slow_is_judged_by_the_median() -> None:
+    records = [_record(gap_s=gap_s) for gap_s in (0.04, 0.04, 0.12)]
+    usual_s = usual_pace_s(records, 0.0)
+    assert [is_slow(item, usual_s, 0.0) for item in records] == [False, False, True]
--- /dev/null
+++ b/pistachioglade/decisions/tests/test_serving_tables.py
@@ -0,0 +1,209 @@
+"""Tables of the decisions of the serving programs."""
+
+from __future__ import annotations
+
+import pytest
+
+from .. import (
+    CallPolicy,
+    NeighbourView,
+    PendingSample,
+    batch_wait_s,
+    heir_of,
+    home_key,
+    home_of,
+    is_lost,
+    is_storeless,
+    may_try_again,
+    neighbour_of,
+    should_load,
+    should_save,
+    start_order,
+    try_time_s,
+)
+
+_IDEMPOTENT = CallPolicy(True, 3, 0.2)
+_ONCE = CallPolicy(False, 3, 0.2)
+
+
+@pytest.mark.parametrize(
+    ("policy", "attempts", "did_not_run", "remaining_s", "expected"),
+    [
+        (_IDEMPOTENT, 1, False, 0.5, True),
+        (_IDEMPOTENT, 1, True, 0.5, True),
+        (_IDEMPOTENT, 3, True, 0.5, False),
+        (_IDEMPOTENT, 1, True, 0.01, False),
+        (_ONCE, 1, False, 0.5, False),
+        (_ONCE, 1, True, 0.5, True),
+    ],
+)
+def test_tries(
+    policy: CallPolicy,
+    attempts: int,
+    did_not_run: bool,
+    remaining_s: float,
+    expected: bool,
+) -> None:
+    assert may_try_again(policy, attempts, did_not_run, remaining_s) is expected
+
+
+@pytest.mark.parametrize(
+    ("policy", "attempt", "remaining_s", "expected_s"),
+    [
+        (_IDEMPOTENT, 1, 1.5, 0.75),
+        (_IDEMPOTENT, 1, 0.6, 0.4),
+        (_IDEMPOTENT, 1, 0.3, 0.3),
+        (_IDEMPOTENT, 3, 1.5, 1.5),
+        (_ONCE, 1, 1.5, 1.5),
+    ],
+)
+def test_time_of_a_try(
+    policy: CallPolicy, attempt: int, remaining_s: float, expected_s: float
+) -> None:
+    assert try_time_s(policy, attempt, remaining_s) == pytest.approx(expected_s)
+
+
+@pytest.mark.parametrize(
+    ("whole", "target", "has_new", "is_last", "at_once"),
+    [
+        (3, 12, True, False, False),
+        (12, 12, True, False, True),
+        (13, 12, True, False, True),
+        (12, 12, False, False, False),
+        (1, 12, False, True, True),
+    ],
+)
+def test_batches_wait_unless_the_trainer_waits_for_them(
+    whole: int, target: int, has_new: bool, is_last: bool, at_once: bool
+) -> None:
+    assert (batch_wait_s(whole, target, has_new, is_last) == 0.0) is at_once
+
+
+def _pending(item: str, **fields: object) -> PendingSample:
+    usual = {
+        "job_id": "job",
+        "item_id": item,
+        "due_s": 7.5,
+        "is_carried": False,
+        "group_open": 4,
+        "group_index": 0,
+        "expected_tokens": 500,
+        "is_begun": False,
+    }
+    return PendingSample(**(usual | fields))  # type: ignore[arg-type]
+
+
+def test_start_order() -> None:
+    samples = [
+        _pending("short", expected_tokens=100),
+        _pending("long", expected_tokens=9000),
+        _pending("later step", due_s=11.5, expected_tokens=9000),
+        _pending("carried", is_carried=True, expected_tokens=100),
+        _pending("begun", is_begun=True, due_s=11.5),
+        _pending("untold", expected_tokens=None),
+    ]
+    order = [item.item_id for item in start_order(samples)]
+    assert order == ["begun", "carried", "long", "short", "untold", "later step"]
+
+
+def test_the_longest_sample_does_not_wait_behind_short_ones() -> None:
+    """Plays a step of 48 samples on 32 slots; the step is over with its last."""
+
+    def length_s(order: list[PendingSample]) -> float:
+        free_s = [0.0] * 32
+        for item in order:
+            place = min(range(32), key=free_s.__getitem__)
+            free_s[place] += (item.expected_tokens or 0) * 0.00066
+        return max(free_s)
+
+    samples = [
+        _pending(f"{number:02d}", expected_tokens=9000 if number == 47 else 1000)
+        for number in range(48)
+    ]
+    assert length_s(start_order(samples)) == pytest.approx(9000 * 0.00066)
+    assert length_s(samples) > length_s(start_order(samples))
+
+
+def test_neighbours_form_one_ring() -> None:
+    names = ["c", "a", "d", "b"]
+    assert [neighbour_of(name, names) for name in "abcd"] == ["d", "a", "b", "c"]
+    assert all(heir_of(str(neighbour_of(name, names)), names) == name for name in names)
+    assert neighbour_of("a", ["a"]) is None
+    assert heir_of("gone", ["a", "z"]) == "z"
+
+
+@pytest.mark.parametrize(
+    ("silent_s", "store_age_s", "own_age_s", "lost", "storeless"),
+    [
+        (0.4, 0.1, 0.1, False, False),
+        (1.0, 0.1, 0.1, False, False),
+        (2.0, 0.1, 0.1, True, False),
+        (0.4, 2.0, 0.1, False, True),
+        (0.4, 2.0, 2.0, False, False),
+        (0.4, None, 0.1, False, False),
+    ],
+)
+def test_takeover(
+    silent_s: float,
+    store_age_s: float | None,
+    own_age_s: float,
+    lost: bool,
+    storeless: bool,
+) -> None:
+    view = NeighbourView(10.0 - silent_s, store_age_s, own_age_s)
+    assert is_lost(view, 10.0) is lost
+    assert is_storeless(view) is storeless
+
+
+def test_homes_move_only_with_their_entry() -> None:
+    entries = {f"entry-{number}": 0.8 for number in range(6)}
+    keys = [home_key("lm", f"model-{number}", 200) for number in range(40)]
+    before = {key: home_of(key, entries) for key in keys}
+    fewer = {name: cores for name, cores in entries.items() if name != "entry-3"}
+    moved = {key for key in keys if home_of(key, fewer) != before[key]}
+    assert moved == {key for key in keys if before[key] == "entry-3"}
+
+
+def test_a_weak_entry_is_no_home_beside_strong_ones() -> None:
+    entries = {"weak": 0.387, "strong": 2.15}
+    homes = {home_of(f"key-{number}", entries) for number in range(20)}
+    assert homes == {"strong"}
+    assert home_of("key", {"weak": 0.387}) == "weak"
+    assert home_of("key", {}) is None
+
+
+@pytest.mark.parametrize("models", [1, 2, 4])
+def test_loads_leave_half_of_a_models_engines_in_service(models: int) -> None:
+    """Plays twelve versions; engines stay fresh, and loads are as many as are free."""
+    names = [f"model-{number}" for number in range(models)]
+    engines = 8
+    loaded = [dict.fromkeys(names, 1) for _ in range(engines)]
+    for version in range(2, 14):
+        for model in names:
+            due = [
+                rank
+                for rank in range(engines)
+                if should_load(rank, names, model, version, loaded[rank][model])
+            ]
+            fresh = [
+                rank for rank in range(engines) if loaded[rank][model] == version - 1
+            ]
+            assert len(due) <= engines / min(models, 2)
+            assert set(fresh) - set(due), "some engine serves during the loads"
+            for rank in due:
+                loaded[rank][model] = version
+    in_use = [max(each[model] for each in loaded) for model in names]
+    assert in_use == [13] * models
+
+
+def test_an_engine_that_missed_its_turn_loads_at_the_next_version() -> None:
+    assert should_load(0, ["m"], "m", 5, 3)
+    assert not should_load(0, ["m"], "m", 5, 5)
+
+
+@pytest.mark.parametrize(
+    ("new_events", "since_s", "saves"),
+    [(100, 1.5, True), (100, 0.5, False), (3, 5.0, False)],
+)
+def test_checkpoints(new_events: int, since_s: float, saves: bool) -> None:
+    assert should_save(new_events, since_s) is saves
--- a/pistachioglade/http1/_server.py
+++ b/pistachioglade/http1/_server.py
@@ -15,6 +15,8 @@
 
 #: Requests that one connection may have waiting behind the one in progress.
 _MAX_PIPELINED: Final = 8
+#: Bytes around a field's name and value: colon, space, line end.
+_FIELD_FRAMING_BYTES: Final = 4
 
 
 @attrs.frozen
@@ -78,7 +80,9 @@
         self._server = server
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
-        self._waiting: deque[Request] = deque()
+        # Requests behind the one in progress, each with whether the client wants the
+        # connection to end after it.
+        self._waiting: deque[tuple[Request, bool]] = deque()
         self._task: asyncio.Task[None] | None = None
         self._can_write = asyncio.Event()
         self._can_write.set()
@@ -113,16 +117,10 @@
     def data_received(self, data: bytes) -> None:
         """Feed the parser, within the limits."""
         self.active_s = self._loop.time()
-        if self._is_in_head:
-            self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._reject(400)
-        except httptools.HttpParserError:
-            self._reject(400)
-        if self._is_in_head and self._head_bytes > self._server.limits.max_header_bytes:
-            self._reject(431)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel what was in progress for this client."""
@@ -155,7 +153,9 @@
             self._transport.close()
 
     def _reject(self, status: int) -> None:
-        if self._task is None and self._transport is not None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._task is None:
             self.will_close = True
             Reply(self).send(Response(status))
         self.close()
@@ -183,11 +183,17 @@
         self._begun_s = self._loop.time()
 
     def on_url(self, url: bytes) -> None:
-        """Collect the target."""
+        """Collect the target, up to the limit of a head."""
         self._target += url
+        self._head_bytes += len(url)
+        if self._head_bytes > self._server.limits.max_header_bytes:
+            self._reject(431)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a field."""
+        """Collect a field, up to the limit of a head."""
+        self._head_bytes += len(name) + len(value) + _FIELD_FRAMING_BYTES
+        if self._head_bytes > self._server.limits.max_header_bytes:
+            self._reject(431)
         self._fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -208,8 +214,6 @@
         """Queue the request behind the one in progress."""
         if self._transport is None or self._transport.is_closing():
             return
-        if not self._parser.should_keep_alive():
-            self.will_close = True
         request = Request(
             self._parser.get_method().decode(),
             self._target.decode("latin-1"),
@@ -218,7 +222,7 @@
             self._loop.time(),
         )
         self._reset_message()
-        self._waiting.append(request)
+        self._waiting.append((request, not self._parser.should_keep_alive()))
         if len(self._waiting) > _MAX_PIPELINED:
             self._transport.pause_reading()
         if self._task is None:
@@ -227,7 +231,8 @@
     def _next(self) -> None:
         if not self._waiting:
             return
-        request = self._waiting.popleft()
+        request, is_last = self._waiting.popleft()
+        self.will_close = self.will_close or is_last
         self._task = self._loop.create_task(self._run(request))
 
     async def _run(self, request: Request) -> None:
@@ -239,11 +244,13 @@
         finally:
             self._task = None
             self.active_s = self._loop.time()
-            if not reply.is_finished or self.will_close or self._server.is_leaving:
+            is_over = not reply.is_finished or self.will_close
+            if is_over or self._server.is_leaving:
                 self.close()
         assert self._transport is not None
-        self._transport.resume_reading()
-        self._next()
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+            self._next()
 
 
 class HttpServer:
--- a/pistachioglade/jobs/__init__.py
+++ b/pistachioglade/jobs/__init__.py
@@ -3,7 +3,7 @@
 from ._event_stream import EventDecoder, SampleEvent
 from ._ledger import JobLedger, JobState
 from ._owner import JobOwner
-from ._reader import JobReader, address_of, batches_from
+from ._reader import JobReader, address_of
 from ._records import (
     JOB_KIND,
     RESULT_KIND,
@@ -28,7 +28,6 @@
     "SampleEvent",
     "Submission",
     "address_of",
-    "batches_from",
     "encode_batch",
     "encode_submission",
     "parse_name",
--- a/pistachioglade/jobs/_job_run.py
+++ b/pistachioglade/jobs/_job_run.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 from collections import Counter
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from itertools import count
 
 import attrs
@@ -74,12 +74,14 @@
         writer: str,
         due_s: float,
         give_up_s: float,
+        on_superseded: Callable[[JobRun], None],
     ) -> None:
         self.state = state
         self.job = job
         self.route = route
         self.due_s = due_s
         self.give_up_s = give_up_s
+        self._on_superseded = on_superseded
         self._ledger = ledger
         self._store = store
         self._writer = writer
@@ -261,6 +263,27 @@
         if not self._unwritten:
             self._has_news.clear()
 
+    async def seal(self) -> None:
+        """Keep an earlier owner from listing anything behind what is known here.
+
+        An empty batch takes the next number; whoever meets it stops. Batches that an
+        earlier owner has written meanwhile are taken in first.
+        """
+        while True:
+            number = self.state.next_batch
+            tag = f"{self._writer}:{next(self._writes)}"
+            batch = BatchRecord(tag, len(self.state.results), (), ())
+            name = str(RecordName(self.job.id, RecordKind.BATCH, number))
+            stored = await self._store.create(
+                RESULT_KIND, name, encode_batch(batch), _WRITE_WITHIN_S
+            )
+            if isinstance(stored, Refusal):
+                continue
+            in_force = decode_batch(stored.value)
+            self._ledger.add_batch(self.state, number, in_force)
+            if in_force.writer == tag:
+                return
+
     async def _write_results(self) -> None:
         while True:
             await self._has_news.wait()
@@ -303,6 +326,8 @@
                         asyncio.get_running_loop().time() - finished[0].finished_s, 3
                     ),
                 )
+                if not is_own:
+                    self._on_superseded(self)
                 return
             assert isinstance(stored, Refusal)
             self._log.warning(
--- a/pistachioglade/jobs/_owner.py
+++ b/pistachioglade/jobs/_owner.py
@@ -7,13 +7,13 @@
 from typing import Final
 
 from ..decisions import choose_for_sample, should_move, start_order
-from ..errors import Refusal
+from ..errors import ErrorKind, Refusal
 from ..fleet import Instance, Result, Route, choose_upstream, find_route
 from ..forwarding import FleetView, Forwarder
 from ..http1 import Request, Response
 from ..logs import logger
 from ..messages import SampleTexts
-from ..platform import signature
+from ..platform import Entry, signature
 from ..store import StoreClient
 from ._job_run import JobRun, Sample
 from ._ledger import JobLedger, JobState
@@ -95,25 +95,25 @@
 
     async def _catch_up_and_begin(self, state: JobState) -> None:
         """Begin a job once all its results that the store has are known."""
-        submission = state.submission
-        assert submission is not None
         try:
-            is_new = not self._may_have_results(state)
-            while not is_new and await self._reader.read_stored(state) is not None:
-                await asyncio.sleep(_CATCH_UP_PAUSE_S)
-            made = await self._made_before(state)
+            run = self._run_for(state)
+            if run is None:
+                return
+            made = SampleTexts(())
+            if self._may_have_results(state):
+                while await self._reader.read_stored(state) is not None:
+                    await asyncio.sleep(_CATCH_UP_PAUSE_S)
+                made = await self._made_before(state)
+                await run.seal()
         finally:
             del self._beginning[state.id]
         if state.is_open and state.owner == self.name and self.is_enabled:
-            self._begin(state)
-            if state.id in self.runs:
-                self.runs[state.id].take_texts(made)
-                self.pump()
+            run.drop_listed()
+            run.take_texts(made)
+            self._begin(run)
 
     async def _made_before(self, state: JobState) -> SampleTexts:
         """Return the texts that an earlier owner, or process, has made."""
-        if not self._may_have_results(state):
-            return SampleTexts(())
         if state.earlier_owner:
             told = await self._reader.texts(state.earlier_owner, state.id)
             if told.texts:
@@ -143,18 +143,19 @@
         for state in tuple(self._ledger.jobs.values()):
             self.reconcile(state)
 
-    def _begin(self, state: JobState) -> None:
+    def _run_for(self, state: JobState) -> JobRun | None:
+        """Return a run of a job, not begun; None while its route isn't known."""
         configuration = self._view.configuration
         job = state.job
         if configuration is None or isinstance(job, Refusal):
-            return
+            return None
         route = find_route(configuration, job.host, job.path)
         if route is None:
-            return
+            return None
         assert state.submission is not None
         age_s = max(0.0, time.time() - state.submission.accepted_s)
         accepted_s = asyncio.get_running_loop().time() - age_s
-        run = JobRun(
+        return JobRun(
             state,
             job,
             route,
@@ -163,21 +164,49 @@
             f"{self.name}:{self.boot}",
             accepted_s + (route.run_aim_s or _DEFAULT_AIM_S),
             accepted_s + (route.retention_s or _DEFAULT_RETENTION_S),
+            self._superseded,
         )
+
+    def _begin(self, run: JobRun) -> None:
+        state, job = run.state, run.job
         self.runs[state.id] = run
         run.start()
+        now_s = asyncio.get_running_loop().time()
         self._log.info(
             "job-run-begun",
             earlier_owner=state.earlier_owner,
             job=state.id,
             step=job.step,
             model=job.model,
-            age_s=round(age_s, 3),
+            due_in_s=round(run.due_s - now_s, 3),
             open_items=len(run.samples),
             total=state.total,
         )
-        if not state.earlier_owner:
-            self.pump()
+        self.pump()
+
+    def _superseded(self, run: JobRun) -> None:
+        """Stop a run whose results another node writes, and learn who owns the job."""
+        state = run.state
+        self._log.warning("job-run-superseded", job=state.id, owner=state.owner)
+        self.runs.pop(state.id, None)
+        # From here on the store may have results that aren't known here.
+        state.first_seen_s = float("-inf")
+        task = asyncio.get_running_loop().create_task(self._learn_owner(state))
+        self._beginning[state.id] = task
+        run.stop()
+
+    async def _learn_owner(self, state: JobState) -> None:
+        try:
+            while True:
+                stored = await self._reader.stored_owner(state.id)
+                if isinstance(stored, Entry) or stored.kind is ErrorKind.NOT_FOUND:
+                    break
+                await asyncio.sleep(_CATCH_UP_PAUSE_S)
+        finally:
+            del self._beginning[state.id]
+        if isinstance(stored, Entry):
+            self._ledger.take(stored, False)
+        self.reconcile(state)
 
     # Which sample starts where.
 
--- a/pistachioglade/jobs/_reader.py
+++ b/pistachioglade/jobs/_reader.py
@@ -8,16 +8,16 @@
 from ..links import LinkPool
 from ..logs import logger
 from ..messages import (
-    BatchRecord,
     FetchResults,
     FetchTexts,
-    ResultBatches,
+    ResultPage,
     SampleTexts,
     structure,
 )
+from ..platform import Entry
 from ..store import StoreClient
 from ._ledger import JobLedger, JobState
-from ._records import RESULT_KIND, RecordKind, RecordName, decode_batch
+from ._records import JOB_KIND, RESULT_KIND, RecordKind, RecordName, decode_batch
 
 #: Time for one question to another entry beside the time that it may hold the answer:
 #: the entries are a few ms apart, and a loaded one answers within a few hundred.
@@ -41,31 +41,33 @@
         self._links = links
         self._log = logger(__name__)
 
-    async def refresh(
+    async def page(
         self, state: JobState, after: int, hold_s: float
-    ) -> Refusal | None:
-        """Learn of the results behind a position, if there are any.
+    ) -> tuple[str, ...] | Refusal:
+        """Return results from a position on, held until there is one.
 
         Returns a refusal if neither the owner nor the store could tell.
         """
-        if len(state.results) > after or len(state.results) == state.total:
-            return None
-        if state.owner == self._own_name and not state.is_ended:
+        is_here = state.owner == self._own_name and not state.is_ended
+        if is_here:
             await state.wait_for_more(after, hold_s)
-            return None
-        if not state.is_ended and await self._ask_owner(state, hold_s):
-            return None
-        return await self.read_stored(state)
-
-    async def _ask_owner(self, state: JobState, hold_s: float) -> bool:
-        question = FetchResults(state.id, state.next_batch, hold_s)
-        first = state.next_batch
+        if len(state.results) > after or len(state.results) == state.total or is_here:
+            return state.page(after)
+        if not state.is_ended:
+            told = await self._ask_owner(state, after, hold_s)
+            if told is not None:
+                return told
+        refusal = await self.read_stored(state)
+        found = state.page(after)
+        return found if found or refusal is None else refusal
+
+    async def _ask_owner(
+        self, state: JobState, after: int, hold_s: float
+    ) -> tuple[str, ...] | None:
+        question = FetchResults(state.id, after, hold_s)
         answer = await self._ask(state.owner, question, hold_s + _ASK_S)
-        if not isinstance(answer, ResultBatches) or not answer.is_running_here:
-            return False
-        for number, batch in enumerate(answer.batches, first):
-            self._ledger.add_batch(state, number, batch)
-        return True
+        is_sure = isinstance(answer, ResultPage) and answer.is_running_here
+        return answer.results if is_sure else None
 
     async def _ask(self, owner: str, question: Any, timeout_s: float) -> Any:
         address = address_of(owner)
@@ -99,6 +101,12 @@
         answer = await self._ask(owner, FetchTexts(job_id), _ASK_S)
         return answer if isinstance(answer, SampleTexts) else SampleTexts(())
 
+    async def stored_owner(self, job_id: str) -> Entry | Refusal:
+        """Return the object that names a job's owner, if it has changed ever."""
+        return await self._store.read(
+            JOB_KIND, str(RecordName(job_id, RecordKind.OWNER))
+        )
+
     async def saved_texts(self, job_id: str) -> SampleTexts:
         """Return the texts that a job's owner has saved last; nothing if none."""
         name = str(RecordName(job_id, RecordKind.TEXTS))
@@ -106,8 +114,3 @@
         if isinstance(stored, Refusal):
             return SampleTexts(())
         return structure(stored.value, SampleTexts)
-
-
-def batches_from(state: JobState, first: int) -> tuple[BatchRecord, ...]:
-    """Return the known batches from a number on."""
-    return tuple(state.batches[first:])
--- /dev/null
+++ b/pistachioglade/jobs/tests/test_event_stream.py
@@ -0,0 +1,56 @@
+"""Events of a sample, cut at any byte."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from .. import EventDecoder, SampleEvent
+
+_STREAM = (
+    b"id: 0\ndata: one\n\n"
+    b"pistachioglade-weight-versions: 7\nid: 1\ndata: two\n\n"
+    b"id: 2\ndata: a\ndata: b\n\n"
+)
+_EVENTS = [
+    SampleEvent(0, "one", None),
+    SampleEvent(1, "two", 7),
+    SampleEvent(2, "a\nb", None),
+]
+
+
+@given(st.sets(st.integers(0, len(_STREAM))))
+def test_any_cut_gives_the_same_events(cuts: set[int]) -> None:
+    decoder = EventDecoder()
+    bounds = [0, *sorted(cuts), len(_STREAM)]
+    events: list[SampleEvent] = []
+    for start, end in pairwise(bounds):
+        found = decoder.feed(_STREAM[start:end])
+        assert found is not None
+        events += found
+    assert events == _EVENTS
+    assert decoder.is_between_events
+
+
+@given(st.integers(1, len(_STREAM) - 1))
+def test_a_stream_that_ends_inside_an_event_shows_it(end: int) -> None:
+    decoder = EventDecoder()
+    decoder.feed(_STREAM[:end])
+    is_whole = _STREAM[:end].endswith(b"\n\n")
+    assert decoder.is_between_events is (is_whole or not _STREAM[:end].strip())
+
+
+@pytest.mark.parametrize(
+    "block",
+    [b"data: no number\n\n", b"id: x\ndata: a\n\n", b"\xff\xfe\n\n", b"{}\n\n"],
+)
+def test_bytes_that_are_no_events(block: bytes) -> None:
+    assert EventDecoder().feed(block) is None
+
+
+def test_line_ends_of_two_bytes() -> None:
+    events = EventDecoder().feed(b"id: 4\r\ndata: x\r\n\r\n")
+    assert events == [SampleEvent(4, "x", None)]
--- a/pistachioglade/messages/__init__.py
+++ b/pistachioglade/messages/__init__.py
@@ -39,8 +39,9 @@
     ProbeAnswer,
     RelayAnswer,
     RelayCall,
-    ResultBatches,
+    ResultPage,
     SampleTexts,
+    StoredRecord,
     TextRecord,
 )
 from ._samples import (
@@ -97,7 +98,7 @@
     "Receipt",
     "RelayAnswer",
     "RelayCall",
-    "ResultBatches",
+    "ResultPage",
     "RootOffer",
     "RootSnapshot",
     "RootState",
@@ -106,6 +107,7 @@
     "SampleBatch",
     "SampleTexts",
     "StepOpened",
+    "StoredRecord",
     "TextRecord",
     "Ticket",
     "VersionSpan",
--- a/pistachioglade/messages/_entries.py
+++ b/pistachioglade/messages/_entries.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import attrs
 
 
@@ -22,18 +24,40 @@
     is_leaving: bool
 
 
+@attrs.frozen
+class StoredRecord:
+    """Tell the node that runs a job of an object that the store has taken."""
+
+    # Name of the object.
+    name: str
+    # Its revision.
+    revision: int
+    # Its value.
+    value: Any
+
+
 @attrs.frozen
 class FetchResults:
-    """Ask the node that runs a job for batches of its results."""
+    """Ask the node that runs a job for results."""
 
     # Job.
     job_id: str
-    # Number of the first batch that is wanted.
-    from_batch: int
+    # Position of the first result that is wanted.
+    after: int
     # Time for which the answer may be held until there is one.
     wait_s: float
 
 
+@attrs.frozen
+class ResultPage:
+    """Results from the position that was asked for on."""
+
+    # Results, each encoded as readers get it.
+    results: tuple[str, ...]
+    # Whether the node that answers runs the job, so that there are no others.
+    is_running_here: bool
+
+
 @attrs.frozen
 class BatchRecord:
     """A batch of results as the store has it."""
@@ -48,16 +72,6 @@
     item_ids: tuple[str, ...]
 
 
-@attrs.frozen
-class ResultBatches:
-    """Batches from the one that was asked for on."""
-
-    # Batches in their order.
-    batches: tuple[BatchRecord, ...]
-    # Whether the node that answers runs the job, so that there are no others.
-    is_running_here: bool
-
-
 @attrs.frozen
 class FetchTexts:
     """Ask the node that ran a job for what it has made of its samples."""
--- a/pistachioglade/platform/_settings.py
+++ b/pistachioglade/platform/_settings.py
@@ -63,6 +63,8 @@
     max_object_bytes: int
     # Share of a core that the machine gives.
     cpu_share: float
+    # Bandwidth of the machine's link, in megabits a second.
+    link_mbps: float
     # Memory of the machine, in megabytes.
     memory_mb: int
 
@@ -104,6 +106,7 @@
         result_retention_s=_number(fields, "bounds.status-retention-s"),
         max_object_bytes=int(_number(fields, "platform.max-value-bytes")),
         cpu_share=_number(fields, "limits.cpu-share"),
+        link_mbps=_number(fields, "limits.link-mbps"),
         memory_mb=int(_number(fields, "limits.memory-mb")),
     )
 
--- a/pistachioglade/serving/_engine_program.py
+++ b/pistachioglade/serving/_engine_program.py
@@ -26,12 +26,14 @@
     encode_weight_order,
     names,
 )
-from ..store import Mirror, StoreClient
+from ..store import StoreClient
 
 #: Fencing token of this holder: there is never another one.
 _FENCE: Final = 1
 #: Time for one call to the engine on the same machine.
 _CALL_TIMEOUT_S: Final = 1.0
+#: Time between two looks at the named versions.
+_VERSIONS_S: Final = 0.7
 #: Time between two looks at an engine that is behind or being loaded.
 _LOOK_S: Final = 0.2
 #: Time between two looks at an engine that is up to date; an engine that restarted
@@ -53,18 +55,31 @@
         self._engine = Pool(settings.engine.host, settings.engine.port)
         self._host = (("Host", str(settings.engine)),)
         self._store = StoreClient(settings.store.host, settings.store.port)
-        self._versions = Mirror(self._store, names.VERSION_KIND, self._take_version)
         self._wanted: dict[str, int] = {}
         self._last_rank = 0
         self._has_news = asyncio.Event()
 
-    def _take_version(self, entry: Entry, is_removed: bool) -> None:
+    async def _read_versions(self) -> None:
+        """Read all named versions, now and then.
+
+        Engines that load later than others cost nothing, as those that have the
+        version before serve meanwhile; so a list that may be old, at a tenth of the
+        price, takes the place of a watch.
+        """
+        while True:
+            page = await self._store.page(names.VERSION_KIND, "", may_be_old=True)
+            if not isinstance(page, Refusal):
+                for entry in page.entries:
+                    self._take_version(entry)
+            await asyncio.sleep(_VERSIONS_S)
+
+    def _take_version(self, entry: Entry) -> None:
         named = decode_version(entry.value)
         if isinstance(named, Refusal):
             self._log.error("version-refused", reason=named.reason)
             return
         model, version = named
-        if not is_removed and version > self._wanted.get(model, 0):
+        if version > self._wanted.get(model, 0):
             self._wanted[model] = version
             self._log.info("version-named", model=model, version=version)
             self._has_news.set()
@@ -76,8 +91,7 @@
         loop.add_signal_handler(signal.SIGTERM, is_leaving.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         tasks = [
-            loop.create_task(self._versions.run()),
-            loop.create_task(self._store.beat(names.VERSION_KIND, "-")),
+            loop.create_task(self._read_versions()),
             loop.create_task(self._follow()),
         ]
         self._log.info("started", program="engine", engine=str(self._settings.engine))
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from ..decisions import capacity_of
 from ..forwarding import FleetView, Forwarder
 from ..http1 import HttpServer, Reply, Request, Response, ServerLimits
 from ..jobs import JOB_KIND, JobLedger, JobOwner, JobReader
@@ -24,6 +25,15 @@
 #: What entries prove to each other. The platform hands out no secret; its network
 #: keeps others off the internal ports (docs/QUESTIONS.md).
 _SHARED_SECRET: Final = ""
+#: Time in which changes of the configuration are gathered; they have 2 s and more to
+#: come into force.
+_CONFIGURATIONS_GATHER_S: Final = 0.3
+#: Time in which changes of the list of instances are gathered: each load of weights
+#: changes it, while an instance that leaves serves for 2 s and more.
+_INSTANCES_GATHER_S: Final = 0.6
+#: Time in which submissions, owners and ends of jobs are gathered. Owners are told at
+#: once over links; the watch is for what those lose.
+_JOBS_GATHER_S: Final = 0.5
 #: Time between two looks at idle connections and lapsed instances.
 _HOUSEKEEPING_S: Final = 0.25
 #: Time after a stop's begin until idle connections are closed: the platform has taken
@@ -61,7 +71,7 @@
         self._peers = Peers(
             settings.node,
             self._address,
-            settings.cpu_share,
+            capacity_of(settings.cpu_share, settings.link_mbps),
             boot,
             self._store,
             links,
@@ -82,12 +92,20 @@
         self._callers = HttpServer(ingress.handle, ServerLimits())
         self._readiness = HttpServer(self._answer_readiness, ServerLimits())
         self._configurations = Mirror(
-            self._store, names.CONFIGURATION_KIND, self._view.take_configuration
+            self._store,
+            names.CONFIGURATION_KIND,
+            self._view.take_configuration,
+            gather_s=_CONFIGURATIONS_GATHER_S,
         )
         self._instances = Mirror(
-            self._store, names.INSTANCE_KIND, self._view.take_instance
+            self._store,
+            names.INSTANCE_KIND,
+            self._view.take_instance,
+            gather_s=_INSTANCES_GATHER_S,
+        )
+        self._jobs = Mirror(
+            self._store, JOB_KIND, self._ledger.take, gather_s=_JOBS_GATHER_S
         )
-        self._jobs = Mirror(self._store, JOB_KIND, self._ledger.take)
         self._view.on_change.append(self._take_limits)
         self._view.on_change.append(self._owner.reconcile_all)
         self._is_leaving = asyncio.Event()
--- a/pistachioglade/serving/_job_calls.py
+++ b/pistachioglade/serving/_job_calls.py
@@ -22,7 +22,7 @@
     encode_submission,
 )
 from ..logs import logger
-from ..platform import decode_job, encode_results_page, parse_submission, wait_s
+from ..platform import Entry, decode_job, encode_results_page, parse_submission, wait_s
 from ..store import StoreClient
 from ._peers import Peers
 
@@ -57,6 +57,7 @@
         self._reader = reader
         self._store = store
         self._log = logger(__name__)
+        self._tellings: set[asyncio.Task[None]] = set()
 
     async def submit(
         self, request: Request, job_id: str, host: str, route: Route
@@ -102,8 +103,19 @@
             took_s=round(asyncio.get_running_loop().time() - request.received_s, 4),
         )
         self._ledger.take(stored, False)
+        self._tell_owner(job_id, stored)
         return Response(202)
 
+    def _tell_owner(self, job_id: str, stored: Entry) -> None:
+        """Tell the node that runs a job of a record, without waiting for it."""
+        state = self._ledger.find(job_id)
+        if state is None:
+            return
+        work = self._peers.tell_owner(state.owner, stored)
+        task = asyncio.get_running_loop().create_task(work)
+        self._tellings.add(task)
+        task.add_done_callback(self._tellings.discard)
+
     async def _find(self, job_id: str) -> JobState | Refusal:
         """Return a job that the ledger or the store knows."""
         state = self._ledger.find(job_id)
@@ -127,10 +139,10 @@
         state = await self._find(job_id)
         if isinstance(state, Refusal):
             return state
-        refusal = await self._reader.refresh(state, after, wait_s(request.fields))
-        if refusal is not None and not state.results[after:]:
-            return refuse(ErrorKind.PLATFORM_UNAVAILABLE, refusal.reason, _RETRY_S)
-        page = encode_results_page(state.total, after, state.page(after))
+        results = await self._reader.page(state, after, wait_s(request.fields))
+        if isinstance(results, Refusal):
+            return refuse(ErrorKind.PLATFORM_UNAVAILABLE, results.reason, _RETRY_S)
+        page = encode_results_page(state.total, after, results)
         return Response(200, _JSON, page)
 
     async def body(self, job_id: str, item_id: str) -> Response | Refusal:
@@ -156,5 +168,6 @@
             if isinstance(stored, Refusal):
                 return stored
             self._ledger.take(stored, False)
+            self._tell_owner(job_id, stored)
             self._log.info("job-ended", job=job_id, results=len(state.results))
         return Response(200)
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -26,25 +26,30 @@
     JobState,
     RecordKind,
     RecordName,
-    batches_from,
+    address_of,
 )
 from ..links import LinkPool, Peer
 from ..logs import logger
 from ..messages import (
+    Acknowledged,
     FetchResults,
     FetchTexts,
     Probe,
     ProbeAnswer,
     RelayAnswer,
     RelayCall,
-    ResultBatches,
+    ResultPage,
     SampleTexts,
+    StoredRecord,
 )
 from ..platform import Entry, StoreCall
 from ..store import Mirror, Relay, StoreClient
 
 #: Kind under which entries list themselves.
 ENTRY_KIND: Final = "pistachioglade-entries"
+#: Time in which changes of the list of entries are gathered: several follow each other
+#: when entries stop and start in turn, and probes see a death sooner.
+_MEMBERS_GATHER_S: Final = 0.8
 #: Age of a neighbour's word on the store up to which calls are sent by way of it.
 _RELAY_FRESH_S: Final = 1.0
 #: Pause between two looks at jobs whose owner is gone.
@@ -66,7 +71,7 @@
         self,
         node: str,
         address: str,
-        cores: float,
+        capacity: float,
         boot: str,
         store: StoreClient,
         links: LinkPool,
@@ -74,7 +79,7 @@
         owner: JobOwner,
     ) -> None:
         self._node = node
-        self._mine = {"address": address, "boot": boot, "cores": cores}
+        self._mine = {"address": address, "boot": boot, "capacity": capacity}
         self._boot = boot
         self._store = store
         self._links = links
@@ -86,7 +91,9 @@
         self._answer: ProbeAnswer | None = None
         self._orphaned_s: dict[str, float] = {}
         # Entries by node, as the store lists them.
-        self.members = Mirror(store, ENTRY_KIND, self._member_changed)
+        self.members = Mirror(
+            store, ENTRY_KIND, self._member_changed, gather_s=_MEMBERS_GATHER_S
+        )
         # Set once the process stops.
         self.is_leaving = False
 
@@ -128,12 +135,12 @@
 
     def home_for(self, upstream: str, model: str, engine_count: int) -> str:
         """Return the owner's name for new jobs of a model: this entry if in doubt."""
-        cores = {
-            name: float(entry.value["cores"])
+        capacities = {
+            name: float(entry.value["capacity"])
             for name, entry in self.members.entries.items()
             if not (self.is_leaving and name == self._node)
         }
-        home = home_of(home_key(upstream, model, engine_count), cores)
+        home = home_of(home_key(upstream, model, engine_count), capacities)
         if home is None or (self._is_silent(home) and not self.is_leaving):
             return self._owner.name
         return f"{home}@{self._address_of_member(home)}"
@@ -158,14 +165,20 @@
         return ProbeAnswer(self._boot, self._store.age_s, self.is_leaving)
 
     @_dispatch.register
-    async def _results(self, message: FetchResults) -> ResultBatches:
-        run = self._owner.runs.get(message.job_id)
+    async def _results(self, message: FetchResults) -> ResultPage:
         state = self._ledger.find(message.job_id)
-        if run is None or state is None:
-            return ResultBatches((), False)
-        known = sum(len(item.results) for item in state.batches[: message.from_batch])
-        await state.wait_for_more(known, message.wait_s)
-        return ResultBatches(batches_from(state, message.from_batch), True)
+        if state is None or message.job_id not in self._owner.runs:
+            return ResultPage((), False)
+        await state.wait_for_more(message.after, message.wait_s)
+        is_running = message.job_id in self._owner.runs
+        is_whole = len(state.results) == state.total
+        return ResultPage(state.page(message.after), is_running or is_whole)
+
+    @_dispatch.register
+    async def _stored(self, message: StoredRecord) -> Acknowledged:
+        entry = Entry(message.name, message.revision, message.value, None)
+        self._ledger.take(entry, False)
+        return Acknowledged()
 
     @_dispatch.register
     async def _texts(self, message: FetchTexts) -> SampleTexts:
@@ -179,6 +192,17 @@
             return answer
         return RelayAnswer(answer.status, answer.body)
 
+    async def tell_owner(self, owner: str, entry: Entry) -> None:
+        """Tell a job's owner at once what its watch would tell it a little later."""
+        if owner == self._owner.name:
+            return
+        message = StoredRecord(entry.name, entry.revision, entry.value)
+        answer = await self._links.call(address_of(owner), message, PROBE_TIMEOUT_S)
+        if isinstance(answer, Refusal):
+            self._log.info(
+                "owner-not-told", owner=owner, record=entry.name, reason=answer.reason
+            )
+
     # Ways around a store that this entry can't reach.
 
     def relays(self) -> tuple[Relay, ...]:
@@ -290,7 +314,11 @@
             outcome=stored.reason if isinstance(stored, Refusal) else "written",
         )
         if isinstance(stored, Entry):
+            earlier = state.owner
             self._ledger.take(stored, False)
+            await asyncio.gather(
+                *(self.tell_owner(name, stored) for name in (owner, earlier))
+            )
 
     async def hand_over(self) -> None:
         """Give this entry's jobs to another one, as at a planned stop."""
--- a/pistachioglade/store/_watch.py
+++ b/pistachioglade/store/_watch.py
@@ -24,7 +24,10 @@
 
 
 class Mirror:
-    """Follows one kind; never goes back behind a revision that it has shown."""
+    """Follows one kind; never goes back behind a revision that it has shown.
+
+    Changes that follow each other within ``gather_s`` come with one call.
+    """
 
     def __init__(
         self,
@@ -32,11 +35,13 @@
         kind: str,
         on_change: OnChange,
         hold_s: float = WATCH_HOLD_S,
+        gather_s: float = 0.0,
     ) -> None:
         self._store = store
         self._kind = kind
         self._on_change = on_change
         self._hold_s = hold_s
+        self._gather_s = gather_s
         self._revision = 0
         self._log = logger(__name__)
         # The objects by name.
@@ -110,6 +115,8 @@
                 if is_newer or change.is_removed:
                     self._apply(change.entry, change.is_removed)
             self._revision = max(self._revision, told.revision)
+            if told.changes and self._gather_s:
+                await asyncio.sleep(self._gather_s)
 
     async def _changes(self) -> EntryChanges | Refusal | None:
         """Watch once; None if the store came back meanwhile, so that it starts anew."""
--- /dev/null
+++ b/pistachioglade/store/tests/served.py
@@ -0,0 +1,79 @@
+"""The store's stand-in in this process, behind a server that can fall silent."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import TypeVar
+from urllib.parse import parse_qs, unquote
+
+from ...http1 import HttpServer, Reply, Request, Response, ServerLimits
+from ...standins._object_api import ObjectApiStandin
+from ...standins._wsgi import StandinRequest
+from .. import StoreClient
+
+T = TypeVar("T")
+
+
+class ServedStore:
+    """The stand-in with its server."""
+
+    def __init__(self) -> None:
+        self.standin = ObjectApiStandin()
+        # While set, requests are read and never answered.
+        self.is_silent = False
+        # How many of the next answers are dropped with their connections.
+        self.dropped_answers = 0
+        self.calls: list[str] = []
+        self.port = 0
+
+    async def handle(self, request: Request, reply: Reply) -> None:
+        self.calls.append(f"{request.method} {request.target}")
+        if self.is_silent:
+            await asyncio.sleep(3600)
+        asked = StandinRequest(
+            request.method,
+            tuple(unquote(part) for part in request.path.strip("/").split("/")),
+            {name: values[0] for name, values in parse_qs(request.query).items()},
+            request.body,
+            {},
+        )
+        answer = await asyncio.to_thread(self.standin.handle, asked)
+        if self.dropped_answers:
+            self.dropped_answers -= 1
+            return
+        reply.send(Response(answer.status, (), json.dumps(answer.body).encode()))
+
+    def client(self) -> StoreClient:
+        return StoreClient("127.0.0.1", self.port)
+
+
+@asynccontextmanager
+async def served_store() -> AsyncIterator[ServedStore]:
+    store = ServedStore()
+    server = HttpServer(store.handle, ServerLimits())
+    await server.start("127.0.0.1", 0)
+    assert server._server is not None
+    store.port = server._server.sockets[0].getsockname()[1]
+    try:
+        yield store
+    finally:
+        server.stop_listening()
+        for connection in tuple(server.connections):
+            connection.close()
+
+
+async def eventually(holds: Callable[[], bool]) -> None:
+    """Wait until something holds; the test's own bound ends a hang."""
+    while not holds():
+        await asyncio.sleep(0.01)
+
+
+def run(work: Callable[[], Awaitable[T]]) -> T:
+    async def bounded() -> T:
+        async with asyncio.timeout(30.0):
+            return await work()
+
+    return asyncio.run(bounded())
--- a/tests/scenario/_checking.py
+++ b/tests/scenario/_checking.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterator
 from typing import Any
 
+from pistachioglade.backing import HttpReply
 from pistachioglade.config import ServiceConfig
 from pistachioglade.load import OPERATOR_TOKEN, Cluster, TrainerOutcome, checks
-from pistachioglade.backing import HttpReply
 from pistachioglade.trainer import TrainerClient
 
 _GRACE_S = 5.0
--- a/tests/scenario/_session.py
+++ b/tests/scenario/_session.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from pistachioglade.backing import HttpReply
 from pistachioglade.config import check_document
 from pistachioglade.errors import Refusal
 from pistachioglade.load import (
@@ -20,7 +21,6 @@
     token_of,
 )
 from pistachioglade.messages import Group
-from pistachioglade.backing import HttpReply
 from pistachioglade.trainer import OpenedStep, TrainerCheckpoint
 
 from ._checking import Checking
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -10,11 +10,11 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import InvalidStatus
 
+from pistachioglade.backing import HttpReply
 from pistachioglade.errors import ErrorKind, Refusal
 from pistachioglade.links import Identity
 from pistachioglade.load import OPERATOR_TOKEN, Cluster, token_of
 from pistachioglade.messages import Envelope, decode_frame
-from pistachioglade.backing import HttpReply
 
 from .conftest import CONFIGS
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -5,9 +5,9 @@
 import shlex
 from pathlib import Path
 
+from pistachioglade.backing import HttpReply
 from pistachioglade.config import AgentSettings, EntrySettings, load_settings
 from pistachioglade.load import OPERATOR_TOKEN, Cluster, token_of
-from pistachioglade.backing import HttpReply
 
 from .conftest import CONFIGS
 
