Process tests of the serving programs before stand-ins; a stop's last answers close

Cause: an answer that was in progress at SIGTERM did not say that its connection ends (test_a_stop_answers_what_it_has_read_and_ends failed first). New: tests/test_serving.py plays lookups at faulty instances, jobs over cut streams, owners that are killed, stopped and frozen, all processes dying, bad input, a store that is down; tables for decisions.

--- a/pistachioglade/http1/_server.py
+++ b/pistachioglade/http1/_server.py
@@ -64,7 +64,7 @@
 
     def _head(self, status: int, fields: Fields) -> None:
         self.is_started = True
-        closing = (("Connection", "close"),) if self._connection.will_close else ()
+        closing = (("Connection", "close"),) if self._connection.is_ending else ()
         line = f"HTTP/1.1 {status} {reason_phrase(status)}"
         self._connection.write(head_bytes(line, (*fields, *closing)))
 
@@ -90,7 +90,7 @@
         self._reset_message()
         # When the last byte came or the last answer ended.
         self.active_s = self._loop.time()
-        # Whether the connection ends after the answer in progress.
+        # Whether the client, or a fault of its, ends the connection.
         self.will_close = False
 
     def _reset_message(self) -> None:
@@ -107,6 +107,11 @@
         """Whether no request is in progress or half read."""
         return self._task is None and not self._waiting and self._begun_s is None
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether the connection ends after the answer in progress."""
+        return self.will_close or self._server.is_leaving
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         assert isinstance(transport, asyncio.Transport)
@@ -238,14 +243,11 @@
     async def _run(self, request: Request) -> None:
         reply = Reply(self)
         try:
-            if self._server.is_leaving:
-                self.will_close = True
             await self._server.handler(request, reply)
         finally:
             self._task = None
             self.active_s = self._loop.time()
-            is_over = not reply.is_finished or self.will_close
-            if is_over or self._server.is_leaving:
+            if not reply.is_finished or self.is_ending:
                 self.close()
         assert self._transport is not None
         if not self._transport.is_closing():
@@ -271,6 +273,13 @@
             lambda: ServerConnection(self), host, port, backlog=1024, reuse_address=True
         )
 
+    @property
+    def port(self) -> int:
+        """The port that it listens on."""
+        assert self._server is not None
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
     def check_time(self, now_s: float) -> None:
         """End connections that were idle or slow for too long."""
         for connection in tuple(self.connections):
--- a/pistachioglade/http1/tests/test_server.py
+++ b/pistachioglade/http1/tests/test_server.py
@@ -20,8 +20,7 @@
 async def _exchange(sent: bytes, limits: ServerLimits = _LIMITS) -> bytes:
     server = HttpServer(_echo, limits)
     await server.start("127.0.0.1", 0)
-    assert server._server is not None
-    port = server._server.sockets[0].getsockname()[1]
+    port = server.port
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(sent)
     answer = await reader.read()
@@ -86,8 +85,7 @@
     async def work() -> bytes:
         server = HttpServer(_echo, ServerLimits(header_timeout_s=0.01))
         await server.start("127.0.0.1", 0)
-        assert server._server is not None
-        port = server._server.sockets[0].getsockname()[1]
+        port = server.port
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(sent)
         while not server.connections or next(iter(server.connections)).is_idle:
@@ -112,8 +110,7 @@
 
         server = HttpServer(handler, _LIMITS)
         await server.start("127.0.0.1", 0)
-        assert server._server is not None
-        port = server._server.sockets[0].getsockname()[1]
+        port = server.port
         _reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(b"GET / HTTP/1.1\r\n\r\n")
         await started.wait()
@@ -129,8 +126,7 @@
         server = HttpServer(_echo, _LIMITS)
         await server.start("127.0.0.1", 0)
         server.is_leaving = True
-        assert server._server is not None
-        port = server._server.sockets[0].getsockname()[1]
+        port = server.port
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(b"GET /a HTTP/1.1\r\n\r\n")
         return await reader.read()
--- a/pistachioglade/store/tests/served.py
+++ b/pistachioglade/store/tests/served.py
@@ -55,8 +55,7 @@
     store = ServedStore()
     server = HttpServer(store.handle, ServerLimits())
     await server.start("127.0.0.1", 0)
-    assert server._server is not None
-    store.port = server._server.sockets[0].getsockname()[1]
+    store.port = server.port
     try:
         yield store
     finally:
--- /dev/null
+++ b/tests/serving.py
@@ -0,0 +1,264 @@
+"""Real serving programs as processes, before the store's and instances' stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from pistachioglade.http1 import Pool, Response
+from pistachioglade.platform import names
+from pistachioglade.standins._fleet_instance import FleetInstance
+from pistachioglade.store.tests.served import ServedStore, served_store
+
+HOST = "case.example"
+LOOKUP = "/lookup/"
+JOBS = "/jobs/"
+REWARD = "/reward/"
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def _route(name: str, prefix: str, kind: str, service: str, **more: Any) -> Any:
+    return {
+        "name": name,
+        "host": HOST,
+        "path-prefix": prefix,
+        "type": kind,
+        "service": service,
+        "timeout-ms": 3000,
+        "target-latency-ms": 300,
+        "max-attempts": 3,
+        "priority": 1,
+        **more,
+    }
+
+
+def configuration(version: int, **more: Any) -> dict[str, Any]:
+    """Return a configuration with a route of each kind that is used here."""
+    return {
+        "version": version,
+        "routes": [
+            _route("lookup", LOOKUP, "idempotent", "app"),
+            _route("billed", "/billed/", "non_idempotent", "app"),
+            _route("reward", REWARD, "idempotent", "app"),
+            _route("jobs", JOBS, "rollout", "lm", **{"run-aim-ms": 7500})
+            | {"retention-s": 40},
+        ],
+        "services": [
+            {"name": "app", "health-path": "/health", "max-connections": 90},
+            {"name": "lm", "health-path": "/health", "max-connections": 90}
+            | {"engine-id": {"stride": 57, "models": [{"name": "m"}]}},
+        ],
+        "limits": {},
+        **more,
+    }
+
+
+@attrs.define(eq=False)
+class EntryProcess:
+    """One entry as a process."""
+
+    name: str
+    port: int
+    ready_port: int
+    settings: Path
+    log: Path
+    process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        environment = os.environ | {"PISTACHIOGLADE_CONFIG": str(self.settings)}
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "pistachioglade.serving",
+                "entry",
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    async def ended(self) -> int:
+        assert self.process is not None
+        return await self.process.wait()
+
+    async def is_ready(self) -> bool:
+        pool = Pool("127.0.0.1", self.ready_port)
+        answer = await pool.request("GET", names.READINESS_PATH, (), b"", 2.0)
+        pool.close()
+        return isinstance(answer, Response) and answer.status == 200
+
+    def lines(self, event: str) -> list[dict[str, Any]]:
+        """Return the log lines of an event."""
+        texts = self.log.read_text().splitlines()
+        parsed = [json.loads(text) for text in texts if text.startswith("{")]
+        return [line for line in parsed if line["event"] == event]
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """Entries, instances and their store."""
+
+    store: ServedStore
+    folder: Path
+    entries: list[EntryProcess] = attrs.field(factory=list)
+    instances: list[FleetInstance] = attrs.field(factory=list)
+
+    async def add_instance(self, instance: FleetInstance) -> FleetInstance:
+        await instance.start()
+        self.instances.append(instance)
+        await self.list_instance(instance)
+        return instance
+
+    async def list_instance(self, instance: FleetInstance) -> None:
+        client = self.store.client()
+        await client.delete(names.INSTANCE_KIND, instance.id)
+        await client.create(names.INSTANCE_KIND, instance.id, instance.entry(), 5.0)
+
+    async def configure(self, value: dict[str, Any]) -> None:
+        client = self.store.client()
+        kind, name = names.CONFIGURATION_KIND, names.CONFIGURATION_NAME
+        made = await client.create(kind, name, value, 5.0)
+        if getattr(made, "value", None) != value:
+            await client.replace(kind, name, value, None)
+
+    async def add_entry(self, name: str) -> EntryProcess:
+        port, ready_port, internal_port = (_free_port() for _ in range(3))
+        settings = self.folder / f"{name}.conf"
+        fields = {
+            "node-name": name,
+            "ip-address": "127.0.0.1",
+            "zone": "zone-a",
+            "listen.frontend": f"127.0.0.1:{port}",
+            "listen.ready": f"127.0.0.1:{ready_port}",
+            "internal-port-range": f"{internal_port},{internal_port + 1}",
+            "limits.cpu-share": "0.8",
+            "limits.link-mbps": "1000",
+            "limits.memory-mb": "300",
+            "heartbeat-interval-ms": "1200",
+            "bounds.drain-timeout-ms": "2000",
+            "bounds.grace-period-s": "8",
+            "bounds.config-apply-ms": "2000",
+            "bounds.status-retention-s": "120",
+            "platform.address": f"127.0.0.1:{self.store.port}",
+            "platform.max-value-bytes": "1048576",
+        }
+        settings.write_text("".join(f"{key}={fields[key]}\n" for key in fields))
+        entry = EntryProcess(
+            name, port, ready_port, settings, self.folder / f"{name}.log"
+        )
+        await entry.start()
+        self.entries.append(entry)
+        while not await entry.is_ready():
+            await asyncio.sleep(0.05)
+        return entry
+
+    async def call(
+        self,
+        entry: EntryProcess,
+        method: str,
+        target: str,
+        request_id: str = "r",
+        body: bytes = b"",
+        **fields: str,
+    ) -> Response:
+        """Make one call at an entry on a connection of its own."""
+        pool = Pool("127.0.0.1", entry.port)
+        sent = (
+            ("Host", HOST),
+            (names.ATTEMPT_ID, request_id),
+            *((name.replace("_", "-"), value) for name, value in fields.items()),
+        )
+        answer = await pool.request(method, target, sent, body, 10.0)
+        pool.close()
+        assert isinstance(answer, Response), answer
+        return answer
+
+    async def results(
+        self, entry: EntryProcess, job_id: str, count: int
+    ) -> list[dict[str, Any]]:
+        """Read a job's results until there are ``count``."""
+        found: list[dict[str, Any]] = []
+        while len(found) < count:
+            answer = await self.call(
+                entry,
+                "GET",
+                f"{names.JOB_PATH}{job_id}?after={len(found)}",
+                **{names.WAIT_MS: "500"},
+            )
+            if answer.status == 503:
+                await asyncio.sleep(0.1)
+                continue
+            assert answer.status == 200, answer
+            page = json.loads(answer.body)
+            assert page["next"] == len(found) + len(page["results"])
+            found += page["results"]
+        return found
+
+    async def stop(self) -> None:
+        for entry in self.entries:
+            if entry.process is not None and entry.process.returncode is None:
+                entry.process.kill()
+                await entry.process.wait()
+        for instance in self.instances:
+            instance.stop()
+
+
+def submission(groups: int, size: int, min_version: int = 1, **more: Any) -> bytes:
+    """Return a job of ``groups`` times ``size`` items, each with a reward call."""
+    items = [
+        {
+            "id": f"item-{group}-{number}",
+            "path": f"{JOBS}run",
+            "headers": {names.MODEL: "m", names.LENGTH_HINT: "300"},
+            "body": "cHJvbXB0",
+            "token-count": 900,
+            "group-id": f"g{group}",
+            "scoring-endpoint": {
+                "id": f"reward-{group}-{number}",
+                "host": HOST,
+                "path": f"{REWARD}score",
+                "body": "c2NvcmU=",
+            },
+        }
+        for group in range(groups)
+        for number in range(size)
+    ]
+    job = {"step": 0, "model": "m", "min-version": min_version, "items": items}
+    return json.dumps(job | {"target-group-count": groups} | more).encode()
+
+
+@asynccontextmanager
+async def small_fleet(folder: Path, entries: int = 1) -> AsyncIterator[Fleet]:
+    """Two plain instances, two engines, and entries before them."""
+    async with served_store() as store:
+        fleet = Fleet(store, folder)
+        try:
+            for number in range(2):
+                await fleet.add_instance(FleetInstance(f"app-{number}", "app"))
+                await fleet.add_instance(FleetInstance(f"lm-{number}", "lm", ("m",)))
+            await fleet.configure(configuration(1))
+            for number in range(entries):
+                await fleet.add_entry(f"entry-{number}")
+            yield fleet
+        finally:
+            await fleet.stop()
--- /dev/null
+++ b/tests/test_serving.py
@@ -0,0 +1,328 @@
+"""The serving programs as processes: lookups, jobs, deaths, stops, bad answers."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from pistachioglade.platform import names
+from pistachioglade.standins._fleet_instance import FleetInstance, whole_text
+from pistachioglade.store.tests.served import run
+
+from .serving import (
+    JOBS,
+    LOOKUP,
+    EntryProcess,
+    Fleet,
+    configuration,
+    small_fleet,
+    submission,
+)
+
+Case = Callable[[Fleet], Awaitable[None]]
+
+
+def _play(folder: Path, case: Case, entries: int = 1) -> None:
+    async def work() -> None:
+        async with small_fleet(folder, entries) as fleet:
+            await case(fleet)
+
+    run(work)
+
+
+def _of(fleet: Fleet, upstream: str) -> list[FleetInstance]:
+    return [item for item in fleet.instances if item.upstream == upstream]
+
+
+def _runs(fleet: Fleet, upstream: str, request_id: str) -> int:
+    return sum(item.runs[request_id] for item in _of(fleet, upstream))
+
+
+_FAULTS = {
+    # name: (fault at every plain instance, path, status, runs, promises not run)
+    "no fault": (None, LOOKUP, 200, 1),
+    "one refuses": ("refused", LOOKUP, 200, 1),
+    "one cuts": ("wrong_id", LOOKUP, 200, 2),
+    "one leaves the signature out": ("unsigned", LOOKUP, 200, 2),
+    "one fails": ("failed", LOOKUP, 200, 2),
+    "billed, one refuses": ("refused", "/billed/", 200, 1),
+    "billed, answer of another": ("wrong_id", "/billed/", 502, 1),
+    "billed, one fails": ("failed", "/billed/", 500, 1),
+}
+
+
+@pytest.mark.parametrize("name", _FAULTS)
+def test_calls_at_a_faulty_instance(name: str, tmp_path: Path) -> None:
+    fault, path, status, runs = _FAULTS[name]
+
+    async def case(fleet: Fleet) -> None:
+        # The first instance that is tried has the fault, the next one has not.
+        entry = fleet.entries[0]
+        for instance in _of(fleet, "app"):
+            if fault is not None:
+                setattr(instance.faults, fault, 1)
+        await fleet.call(entry, "GET", f"{LOOKUP}warm", "warm")
+        others = _of(fleet, "app")
+        for instance in others:
+            instance.faults = type(instance.faults)()
+        if fault is not None:
+            setattr(others[0].faults, fault, 1)
+            others[1].is_leaving = True
+            await fleet.list_instance(others[1])
+            await asyncio.sleep(0.7)
+            others[1].is_leaving = False
+            spare = await fleet.add_instance(FleetInstance("zz-spare", "app"))
+            assert spare.port
+            await asyncio.sleep(0.7)
+        answer = await fleet.call(entry, "POST", f"{path}x", "id-1", b"question")
+        assert answer.status == status, answer
+        assert _runs(fleet, "app", "id-1") == runs
+        if status == 200:
+            assert answer.body == hashlib.sha256(b"question").hexdigest().encode()
+            assert answer.field(names.SIGNATURE) == "sig-id-1"
+
+    _play(tmp_path, case)
+
+
+def test_unknown_routes_and_bad_calls(tmp_path: Path) -> None:
+    async def case(fleet: Fleet) -> None:
+        entry = fleet.entries[0]
+        expected = {
+            ("GET", "/nowhere/"): 404,
+            ("GET", f"{names.JOB_PATH}unknown"): 404,
+            ("GET", f"{names.ITEM_PATH}unknown?id=a"): 404,
+            ("DELETE", f"{names.JOB_PATH}unknown"): 404,
+            ("GET", f"{names.JOB_PATH}x?after=minus"): 400,
+            ("PUT", f"{names.JOB_PATH}x"): 400,
+            ("GET", f"{JOBS}x"): 400,
+        }
+        for (method, target), status in expected.items():
+            answer = await fleet.call(entry, method, target)
+            assert answer.status == status, (method, target, answer)
+        for body in (b"", b"[]", b"{", b"{}", b'{"items": 3}', b'{"items": [{}]}'):
+            answer = await fleet.call(entry, "POST", f"{JOBS}x", "bad", body)
+            assert answer.status == 400, (body, answer)
+        assert (await fleet.call(entry, "GET", f"{LOOKUP}x")).status == 200
+
+    _play(tmp_path, case)
+
+
+def _check(results: list[dict[str, object]], events: int = 6) -> None:
+    """Check that each item has one whole, scored result."""
+    ids = [str(result["id"]) for result in results]
+    assert len(set(ids)) == len(ids)
+    for result in results:
+        item = str(result["id"])
+        assert result["state"] == "completed", result
+        assert result["output-text"] == whole_text(item, events)
+        assert result["score"] == f"sig-{item.replace('item', 'reward')}"
+        assert result["weight-versions"]
+
+
+def test_a_job_from_end_to_end(tmp_path: Path) -> None:
+    async def case(fleet: Fleet) -> None:
+        first, second = fleet.entries
+        body = submission(3, 4)
+        answers = await asyncio.gather(
+            *(
+                fleet.call(entry, "POST", f"{JOBS}x", "job-1", body)
+                for entry in (first, second, first)
+            )
+        )
+        assert [answer.status for answer in answers] == [202, 202, 202]
+        results = await fleet.results(second, "job-1", 12)
+        _check(results)
+        assert await fleet.results(first, "job-1", 12) == results
+        item = await fleet.call(second, "GET", f"{names.ITEM_PATH}job-1?id=item-0-0")
+        assert item.body == b"prompt"
+        for entry in (first, second, first):
+            end = await fleet.call(entry, "DELETE", f"{names.JOB_PATH}job-1")
+            assert end.status == 200
+        assert await fleet.results(first, "job-1", 12) == results
+
+    _play(tmp_path, case, entries=2)
+
+
+def test_samples_survive_cut_streams_failures_and_refusals(tmp_path: Path) -> None:
+    async def case(fleet: Fleet) -> None:
+        for engine in _of(fleet, "lm"):
+            engine.faults.cut = 3
+            engine.faults.refused = 3
+            engine.faults.failed = 1
+        entry = fleet.entries[0]
+        await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(2, 4))
+        _check(await fleet.results(entry, "job-1", 8))
+        resumed = [engine.resumed for engine in _of(fleet, "lm")]
+        assert any(resumed), "a cut stream goes on where it ended"
+
+    _play(tmp_path, case)
+
+
+def test_an_item_that_always_fails_is_given_up(tmp_path: Path) -> None:
+    async def case(fleet: Fleet) -> None:
+        for engine in _of(fleet, "lm"):
+            engine.faults.failed = 1000
+        entry = fleet.entries[0]
+        await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(1, 1))
+        results = await fleet.results(entry, "job-1", 1)
+        assert results[0]["state"] == "terminated"
+        assert _runs(fleet, "lm", "item-0-0") == 3
+
+    _play(tmp_path, case)
+
+
+def test_no_token_is_older_than_the_job_allows(tmp_path: Path) -> None:
+    async def case(fleet: Fleet) -> None:
+        old, new = _of(fleet, "lm")
+        new.versions["m"] = 5
+        await fleet.list_instance(new)
+        entry = fleet.entries[0]
+        await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(2, 4, 5))
+        results = await fleet.results(entry, "job-1", 8)
+        _check(results)
+        assert all(result["weight-versions"] == [5] for result in results)
+        assert old.versions["m"] == 1
+
+    _play(tmp_path, case)
+
+
+def test_an_ended_job_leaves_the_engines(tmp_path: Path) -> None:
+    async def case(fleet: Fleet) -> None:
+        for engine in _of(fleet, "lm"):
+            engine.events, engine.event_s = 1000, 0.05
+        entry = fleet.entries[0]
+        await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(1, 4))
+        while sum(engine.running for engine in _of(fleet, "lm")) < 4:
+            await asyncio.sleep(0.02)
+        await fleet.call(entry, "DELETE", f"{names.JOB_PATH}job-1")
+        while sum(engine.running for engine in _of(fleet, "lm")):
+            await asyncio.sleep(0.02)
+
+    _play(tmp_path, case)
+
+
+async def _owner(fleet: Fleet) -> EntryProcess:
+    while True:
+        for entry in fleet.entries:
+            if entry.lines("job-run-begun"):
+                return entry
+        await asyncio.sleep(0.02)
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP])
+def test_another_entry_goes_on_with_the_samples(
+    number: signal.Signals, tmp_path: Path
+) -> None:
+    """The owner dies, stops or freezes while samples run; texts are taken over."""
+
+    async def case(fleet: Fleet) -> None:
+        for engine in _of(fleet, "lm"):
+            engine.events, engine.event_s = 120, 0.03
+        body = submission(2, 2)
+        await fleet.call(fleet.entries[0], "POST", f"{JOBS}x", "job-1", body)
+        owner = await _owner(fleet)
+        await asyncio.sleep(2.0)
+        owner.signal(number)
+        other = next(entry for entry in fleet.entries if entry is not owner)
+        results = await fleet.results(other, "job-1", 4)
+        _check(results, 120)
+        assert any(engine.resumed for engine in _of(fleet, "lm"))
+        if number is signal.SIGSTOP:
+            owner.signal(signal.SIGCONT)
+            await asyncio.sleep(1.5)
+            assert await fleet.results(owner, "job-1", 4) == results
+        if number is signal.SIGTERM:
+            assert await owner.ended() == 0
+
+    _play(tmp_path, case, entries=2)
+
+
+def test_results_are_there_after_all_processes_have_died(tmp_path: Path) -> None:
+    async def case(fleet: Fleet) -> None:
+        body = submission(2, 4)
+        await fleet.call(fleet.entries[0], "POST", f"{JOBS}x", "job-1", body)
+        before = await fleet.results(fleet.entries[1], "job-1", 8)
+        for entry in fleet.entries:
+            entry.signal(signal.SIGKILL)
+            await entry.ended()
+            await entry.start()
+        for entry in fleet.entries:
+            while not await entry.is_ready():
+                await asyncio.sleep(0.05)
+            assert await fleet.results(entry, "job-1", 8) == before
+
+    _play(tmp_path, case, entries=2)
+
+
+def test_a_stop_answers_what_it_has_read_and_ends(tmp_path: Path) -> None:
+    async def case(fleet: Fleet) -> None:
+        entry = fleet.entries[0]
+        for instance in _of(fleet, "app"):
+            instance.event_s = 1.0
+        call = asyncio.create_task(fleet.call(entry, "GET", f"{LOOKUP}x", "id-1"))
+        while not _runs(fleet, "app", "id-1"):
+            await asyncio.sleep(0.02)
+        entry.signal(signal.SIGTERM)
+        answer = await call
+        assert answer.status == 200
+        assert answer.field("connection") == "close"
+        assert not await entry.is_ready()
+        assert await entry.ended() == 0
+        assert entry.lines("stopped")
+
+    _play(tmp_path, case)
+
+
+def test_a_configuration_comes_into_force(tmp_path: Path) -> None:
+    async def case(fleet: Fleet) -> None:
+        entry = fleet.entries[0]
+        changed = configuration(7)
+        changed["routes"][0]["path-prefix"] = "/moved/"
+        await fleet.configure(changed)
+        while (await fleet.call(entry, "GET", "/moved/x")).status == 404:
+            await asyncio.sleep(0.05)
+        assert (await fleet.call(entry, "GET", f"{LOOKUP}x")).status == 404
+        await fleet.configure(configuration(6))
+        await asyncio.sleep(0.6)
+        assert (await fleet.call(entry, "GET", "/moved/x")).status == 200
+
+    _play(tmp_path, case)
+
+
+def test_a_refusal_without_the_store_is_true_and_says_when(tmp_path: Path) -> None:
+    async def case(fleet: Fleet) -> None:
+        entry = fleet.entries[0]
+        fleet.store.standin.faults.down = True
+        answer = await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(1, 2))
+        assert answer.status == 503
+        assert float(answer.field("retry-after") or "0") > 0.0
+        fleet.store.standin.faults.down = False
+        lookup = await fleet.call(entry, "GET", f"{LOOKUP}x", "id-1")
+        assert lookup.status == 200
+        await asyncio.sleep(1.0)
+        assert _runs(fleet, "lm", "item-0-0") == 0
+        again = await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(1, 2))
+        assert again.status == 202
+        _check(await fleet.results(entry, "job-1", 2))
+
+    _play(tmp_path, case)
+
+
+def test_bytes_that_are_no_request_end_only_their_connection(tmp_path: Path) -> None:
+    async def case(fleet: Fleet) -> None:
+        entry = fleet.entries[0]
+        for garbage in (b"\x00" * 64, b"GET / HTTP/9.9\r\n\r\n", b"}{\r\n\r\n"):
+            reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+            writer.write(garbage)
+            assert (await reader.read()).startswith(b"HTTP/1.1 400")
+            writer.close()
+        assert json.loads(submission(1, 1))["items"]
+        assert (await fleet.call(entry, "GET", f"{LOOKUP}x")).status == 200
+
+    _play(tmp_path, case)
