Watches that may come late cost a tenth; instances are gathered by need

Change: entries that run no jobs gather changes of instances for 1.2 s; submissions and the list of entries are watched with reads that may be old, as owners are told directly; lists stay of now. Ruled out: the same for instances and configuration (DRAIN and CONFIG bind within 2 s).

--- a/pistachioglade/platform/_objects.py
+++ b/pistachioglade/platform/_objects.py
@@ -91,9 +91,12 @@
     return StoreCall("GET", f"{_ROOT}/{quote(kind)}{'?' if query else ''}{query}")
 
 
-def watch_call(kind: str, revision: int, wait_s: float) -> StoreCall:
-    """Wait for changes behind a revision."""
+def watch_call(
+    kind: str, revision: int, wait_s: float, may_be_old: bool = False
+) -> StoreCall:
+    """Wait for changes behind a revision; ones that may come late cost a tenth."""
     query = f"watch={revision}&wait-timeout-ms={int(wait_s * 1000)}"
+    query += "&allow-stale=1" * may_be_old
     return StoreCall("GET", f"{_ROOT}/{quote(kind)}?{query}")
 
 
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -29,11 +29,14 @@
 #: come into force.
 _CONFIGURATIONS_GATHER_S: Final = 0.3
 #: Time in which changes of the list of instances are gathered: each load of weights
-#: changes it, while an instance that leaves serves for 2 s and more.
-_INSTANCES_GATHER_S: Final = 0.6
+#: changes it, while an instance that leaves serves for 2 s and more. An entry that runs
+#: jobs wants to know engines that have loaded sooner.
+_INSTANCES_GATHER_S: Final = 1.2
+_INSTANCES_GATHER_AT_HOME_S: Final = 0.4
 #: Time in which submissions, owners and ends of jobs are gathered. Owners are told at
-#: once over links; the watch is for what those lose.
-_JOBS_GATHER_S: Final = 0.5
+#: once over links; the watch is for what those lose, within the 3 s in which an end has
+#: to take effect.
+_JOBS_GATHER_S: Final = 1.0
 #: Time between two looks at idle connections and lapsed instances.
 _HOUSEKEEPING_S: Final = 0.25
 #: Time after a stop's begin until idle connections are closed: the platform has taken
@@ -95,16 +98,20 @@
             self._store,
             names.CONFIGURATION_KIND,
             self._view.take_configuration,
-            gather_s=_CONFIGURATIONS_GATHER_S,
+            gather_s=lambda: _CONFIGURATIONS_GATHER_S,
         )
         self._instances = Mirror(
             self._store,
             names.INSTANCE_KIND,
             self._view.take_instance,
-            gather_s=_INSTANCES_GATHER_S,
+            gather_s=self._instances_gather_s,
         )
         self._jobs = Mirror(
-            self._store, JOB_KIND, self._ledger.take, gather_s=_JOBS_GATHER_S
+            self._store,
+            JOB_KIND,
+            self._ledger.take,
+            gather_s=lambda: _JOBS_GATHER_S,
+            may_be_late=True,
         )
         self._view.on_change.append(self._take_limits)
         self._view.on_change.append(self._owner.reconcile_all)
@@ -126,6 +133,10 @@
         status = (200 if self.is_ready else 503) if is_asked else 404
         reply.send(Response(status))
 
+    def _instances_gather_s(self) -> float:
+        is_home = bool(self._owner.runs)
+        return _INSTANCES_GATHER_AT_HOME_S if is_home else _INSTANCES_GATHER_S
+
     def _take_limits(self) -> None:
         configuration = self._view.configuration
         if configuration is not None:
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -92,7 +92,11 @@
         self._orphaned_s: dict[str, float] = {}
         # Entries by node, as the store lists them.
         self.members = Mirror(
-            store, ENTRY_KIND, self._member_changed, gather_s=_MEMBERS_GATHER_S
+            store,
+            ENTRY_KIND,
+            self._member_changed,
+            gather_s=lambda: _MEMBERS_GATHER_S,
+            may_be_late=True,
         )
         # Set once the process stops.
         self.is_leaving = False
--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -187,10 +187,10 @@
         return answer if isinstance(answer, Refusal) else decode_page(answer.body)
 
     async def changes(
-        self, kind: str, revision: int, hold_s: float
+        self, kind: str, revision: int, hold_s: float, may_be_old: bool = False
     ) -> EntryChanges | Refusal:
         """Wait for changes behind a revision."""
-        call = watch_call(kind, revision, hold_s)
+        call = watch_call(kind, revision, hold_s, may_be_old)
         answer = await self.call(call, hold_s + CALL_TIMEOUT_S)
         return answer if isinstance(answer, Refusal) else decode_changes(answer.body)
 
--- a/pistachioglade/store/_watch.py
+++ b/pistachioglade/store/_watch.py
@@ -26,7 +26,9 @@
 class Mirror:
     """Follows one kind; never goes back behind a revision that it has shown.
 
-    Changes that follow each other within ``gather_s`` come with one call.
+    Changes that follow each other within ``gather_s`` come with one call. Lists are
+    always of now; with ``may_be_late``, changes may come some seconds late, at a tenth
+    of the price.
     """
 
     def __init__(
@@ -35,13 +37,15 @@
         kind: str,
         on_change: OnChange,
         hold_s: float = WATCH_HOLD_S,
-        gather_s: float = 0.0,
+        gather_s: Callable[[], float] = float,
+        may_be_late: bool = False,
     ) -> None:
         self._store = store
         self._kind = kind
         self._on_change = on_change
         self._hold_s = hold_s
         self._gather_s = gather_s
+        self._may_be_late = may_be_late
         self._revision = 0
         self._log = logger(__name__)
         # The objects by name.
@@ -115,14 +119,17 @@
                 if is_newer or change.is_removed:
                     self._apply(change.entry, change.is_removed)
             self._revision = max(self._revision, told.revision)
-            if told.changes and self._gather_s:
-                await asyncio.sleep(self._gather_s)
+            gather_s = self._gather_s()
+            if told.changes and gather_s > 0.0:
+                await asyncio.sleep(gather_s)
 
     async def _changes(self) -> EntryChanges | Refusal | None:
         """Watch once; None if the store came back meanwhile, so that it starts anew."""
         renewal = self._store.renewal()
         watch = asyncio.get_running_loop().create_task(
-            self._store.changes(self._kind, self._revision, self._hold_s)
+            self._store.changes(
+                self._kind, self._revision, self._hold_s, self._may_be_late
+            )
         )
         try:
             await asyncio.wait((watch, renewal), return_when=asyncio.FIRST_COMPLETED)
