--- a/pistachioglade/forwarding/_forward.py
+++ b/pistachioglade/forwarding/_forward.py
@@ -17,6 +17,7 @@
 from ..fleet import Instance, Route, RouteKind, choose_upstream
 from ..http1 import Request, Response, end_to_end
 from ..logs import logger
+from ..metrics import Metrics
 from ..platform import caller_deadline_s
 from ._fleet_view import FleetView
 from ._upstream_call import call_instance
@@ -39,7 +40,10 @@
 class Forwarder:
     """Sends requests to instances."""
 
-    def __init__(self, view: FleetView, domain: str) -> None:
+    def __init__(
+        self, view: FleetView, domain: str, metrics: Metrics | None = None
+    ) -> None:
+        self._metrics = metrics or Metrics()
         self._view = view
         self._domain = domain
         self._log = logger(__name__)
@@ -75,6 +79,9 @@
             last = await call_instance(
                 self._view, instance, kept, call.request_id, time_s
             )
+            self._metrics.tried(
+                last.kind.value if isinstance(last, Refusal) else str(last.status)
+            )
             self._log.info(
                 "call-tried",
                 request=call.request_id,
--- a/pistachioglade/jobs/_job_run.py
+++ b/pistachioglade/jobs/_job_run.py
@@ -21,6 +21,7 @@
 from ..fleet import Item, Job, Result, Route
 from ..logs import logger
 from ..messages import BatchRecord, SampleTexts, TextRecord, unstructure
+from ..metrics import Metrics
 from ..platform import Entry, encode_result
 from ..store import StoreClient
 from ._ledger import JobLedger, JobState
@@ -75,7 +76,9 @@
         due_s: float,
         give_up_s: float,
         on_superseded: Callable[[JobRun], None],
+        metrics: Metrics,
     ) -> None:
+        self._metrics = metrics
         self.state = state
         self.job = job
         self.route = route
@@ -316,15 +319,15 @@
             if isinstance(stored, Entry):
                 in_force = decode_batch(stored.value)
                 self._ledger.add_batch(self.state, number, in_force)
+                age_s = asyncio.get_running_loop().time() - finished[0].finished_s
+                self._metrics.results_listed(len(in_force.results), age_s)
                 is_own = in_force.writer == batch.writer
                 self._log.info(
                     "results-listed" if is_own else "results-of-another-node",
                     job=self.job.id,
                     batch=number,
                     results=len(in_force.results),
-                    oldest_age_s=round(
-                        asyncio.get_running_loop().time() - finished[0].finished_s, 3
-                    ),
+                    oldest_age_s=round(age_s, 3),
                 )
                 if not is_own:
                     self._on_superseded(self)
--- a/pistachioglade/jobs/_owner.py
+++ b/pistachioglade/jobs/_owner.py
@@ -13,6 +13,7 @@
 from ..http1 import Request, Response
 from ..logs import logger
 from ..messages import SampleTexts
+from ..metrics import Metrics
 from ..platform import Entry, signature
 from ..store import StoreClient
 from ._job_run import JobRun, Sample
@@ -44,7 +45,9 @@
         store: StoreClient,
         forwarder: Forwarder,
         reader: JobReader,
+        metrics: Metrics,
     ) -> None:
+        self._metrics = metrics
         # Name of this node as an owner, with its address.
         self.name = name
         # Nonce of this process.
@@ -165,6 +168,7 @@
             accepted_s + (route.run_aim_s or _DEFAULT_AIM_S),
             accepted_s + (route.retention_s or _DEFAULT_RETENTION_S),
             self._superseded,
+            self._metrics,
         )
 
     def _begin(self, run: JobRun) -> None:
@@ -343,6 +347,7 @@
         begun_s: float,
     ) -> None:
         now_s = asyncio.get_running_loop().time()
+        self._metrics.item_tried(result.end.value, now_s - begun_s)
         self._log.info(
             "item-tried",
             job=run.job.id,
--- /dev/null
+++ b/pistachioglade/logs/tests/test_logs.py
@@ -0,0 +1,54 @@
+"""Logs stay bounded and never block."""
+
+from __future__ import annotations
+
+import json
+import os
+
+from .. import BoundedWriter
+
+
+class _Clock:
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+def _read(descriptor: int) -> bytes:
+    os.set_blocking(descriptor, False)
+    parts = []
+    while True:
+        try:
+            part = os.read(descriptor, 1 << 16)
+        except BlockingIOError:
+            return b"".join(parts)
+        parts.append(part)
+
+
+def test_too_many_lines_are_dropped_and_counted() -> None:
+    reader, writer_end = os.pipe()
+    clock = _Clock()
+    writer = BoundedWriter(writer_end, clock, lines_per_s=10.0)
+    for number in range(1500):
+        writer(json.dumps({"n": number}))
+    assert len(_read(reader).splitlines()) == 1200
+    assert writer.dropped == 300
+    clock.now_s = 1.0
+    writer(json.dumps({"event": "later"}))
+    lines = [json.loads(line) for line in _read(reader).splitlines()]
+    assert lines == [{"event": "later"}, {"event": "lines-dropped", "count": 300}]
+
+
+def test_a_reader_that_does_not_keep_up_costs_lines_only() -> None:
+    reader, writer_end = os.pipe()
+    writer = BoundedWriter(writer_end, _Clock())
+    line = json.dumps({"text": "x" * 1000})
+    for _ in range(500):
+        writer(line)
+    assert writer.dropped > 0
+    first = _read(reader)
+    writer(line)
+    lines = (first + _read(reader)).splitlines()
+    assert all(json.loads(item) for item in lines)
--- /dev/null
+++ b/pistachioglade/metrics/__init__.py
@@ -0,0 +1,6 @@
+"""Counters and latency histograms of the serving programs, and their address."""
+
+from ._metrics import Metrics
+from ._server import METRICS_PATH, METRICS_PORT_VARIABLE, serve_metrics
+
+__all__ = ["METRICS_PATH", "METRICS_PORT_VARIABLE", "Metrics", "serve_metrics"]
--- /dev/null
+++ b/pistachioglade/metrics/_metrics.py
@@ -0,0 +1,109 @@
+"""What a serving program counts; names are explained in docs/OPERATIONS.md."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+#: Bounds of lookups' times, in seconds, around their aims of 0.15 to 0.43 s.
+_CALL_BOUNDS_S: Final = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
+#: Bounds of the store's times, in seconds, around its 4 ms and its limit of 1 s.
+_STORE_BOUNDS_S: Final = (0.005, 0.01, 0.025, 0.1, 0.25, 1.0)
+#: Bounds of samples' and results' times, in seconds, around a step's 7.5 s.
+_SAMPLE_BOUNDS_S: Final = (0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
+
+
+class Metrics:
+    """One process's counters; a registry of its own, so that tests have fresh ones."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._requests = Counter(
+            "pistachioglade_requests",
+            "Callers' requests by what they asked for and the answer's status.",
+            ("call", "status"),
+            registry=self._registry,
+        )
+        self._request_s = Histogram(
+            "pistachioglade_request_seconds",
+            "Time from a request's last byte to its answer.",
+            ("call",),
+            buckets=_CALL_BOUNDS_S,
+            registry=self._registry,
+        )
+        self._tries = Counter(
+            "pistachioglade_upstream_tries",
+            "Requests sent to instances by how each try ended.",
+            ("outcome",),
+            registry=self._registry,
+        )
+        self._item_tries = Counter(
+            "pistachioglade_item_tries",
+            "Tries of samples by how they ended.",
+            ("outcome",),
+            registry=self._registry,
+        )
+        self._item_s = Histogram(
+            "pistachioglade_item_try_seconds",
+            "Time of one try of a sample.",
+            buckets=_SAMPLE_BOUNDS_S,
+            registry=self._registry,
+        )
+        self._results = Counter(
+            "pistachioglade_results_listed",
+            "Results that the store has taken from this process.",
+            registry=self._registry,
+        )
+        self._result_age_s = Histogram(
+            "pistachioglade_result_age_seconds",
+            "Age of the oldest result of a batch when the store had taken it.",
+            buckets=_SAMPLE_BOUNDS_S,
+            registry=self._registry,
+        )
+        self._store_calls = Counter(
+            "pistachioglade_store_calls",
+            "Calls to the store by method and outcome.",
+            ("method", "outcome"),
+            registry=self._registry,
+        )
+        self._store_s = Histogram(
+            "pistachioglade_store_call_seconds",
+            "Time of one call to the store, watches left out.",
+            buckets=_STORE_BOUNDS_S,
+            registry=self._registry,
+        )
+
+    def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Expose a value that is read when it is asked for."""
+        Gauge(name, text, registry=self._registry).set_function(read)
+
+    def request_answered(self, call: str, status: int, took_s: float) -> None:
+        """Count a caller's request."""
+        self._requests.labels(call, status).inc()
+        self._request_s.labels(call).observe(took_s)
+
+    def tried(self, outcome: str) -> None:
+        """Count a request that went to an instance."""
+        self._tries.labels(outcome).inc()
+
+    def item_tried(self, outcome: str, took_s: float) -> None:
+        """Count a try of a sample."""
+        self._item_tries.labels(outcome).inc()
+        self._item_s.observe(took_s)
+
+    def results_listed(self, count: int, oldest_age_s: float) -> None:
+        """Count a batch of results."""
+        self._results.inc(count)
+        self._result_age_s.observe(oldest_age_s)
+
+    def store_called(self, method: str, outcome: str, took_s: float) -> None:
+        """Count a call to the store."""
+        self._store_calls.labels(method, outcome).inc()
+        self._store_s.observe(took_s)
+
+    def text(self) -> bytes:
+        """Return everything in the usual text format."""
+        return generate_latest(self._registry)
--- a/pistachioglade/platform/_objects.py
+++ b/pistachioglade/platform/_objects.py
@@ -70,6 +70,8 @@
     target: str
     # Body; empty for reads.
     body: bytes = b""
+    # Whether the answer is held until there is something to tell.
+    is_watch: bool = False
 
 
 def _path(kind: str, name: str) -> str:
@@ -97,7 +99,7 @@
     """Wait for changes behind a revision; ones that may come late cost a tenth."""
     query = f"watch={revision}&wait-timeout-ms={int(wait_s * 1000)}"
     query += "&allow-stale=1" * may_be_old
-    return StoreCall("GET", f"{_ROOT}/{quote(kind)}?{query}")
+    return StoreCall("GET", f"{_ROOT}/{quote(kind)}?{query}", is_watch=True)
 
 
 def create_call(kind: str, name: str, value: Any) -> StoreCall:
--- a/pistachioglade/serving/__main__.py
+++ b/pistachioglade/serving/__main__.py
@@ -16,7 +16,8 @@
 
 from ..errors import Refusal
 from ..logs import configure_bounded_logs
-from ..platform import SETTINGS_VARIABLE, load_settings
+from ..metrics import METRICS_PORT_VARIABLE, Metrics, serve_metrics
+from ..platform import SETTINGS_VARIABLE, ProcessSettings, load_settings
 
 #: Exit status for wrong usage or settings.
 _USAGE: Final = 2
@@ -43,18 +44,32 @@
     if isinstance(settings, Refusal):
         print(settings.reason, file=sys.stderr)
         return _USAGE
-    configure_bounded_logs(settings.node, arguments[0])
-    asyncio.run(_run(arguments[0], settings))
+    port = os.environ.get(METRICS_PORT_VARIABLE, "")
+    if port and not port.isdigit():
+        print(f"{METRICS_PORT_VARIABLE}: {port!r} is not a port", file=sys.stderr)
+        return _USAGE
+    writer = configure_bounded_logs(settings.node, arguments[0])
+    metrics = Metrics()
+    metrics.gauge(
+        "pistachioglade_log_lines_dropped",
+        "Log lines dropped because they were too many or their reader too slow.",
+        lambda: writer.dropped,
+    )
+    asyncio.run(_run(arguments[0], settings, metrics, int(port or 0)))
     return 0
 
 
-async def _run(role: str, settings: object) -> None:
+async def _run(
+    role: str, settings: ProcessSettings, metrics: Metrics, metrics_port: int
+) -> None:
+    if metrics_port:
+        await serve_metrics(metrics, settings.host, metrics_port)
     # Each role imports what it needs and no more: memory is paid for.
     from importlib import import_module
 
     module, name = _ROLES[role]
     program = getattr(import_module(f".{module}", __package__), name)
-    await program(settings).run()
+    await program(settings, metrics).run()
 
 
 if __name__ == "__main__":
--- a/pistachioglade/serving/_engine_program.py
+++ b/pistachioglade/serving/_engine_program.py
@@ -15,6 +15,7 @@
 from ..fleet import Instance
 from ..http1 import Pool, Response
 from ..logs import logger
+from ..metrics import Metrics
 from ..platform import (
     Address,
     EngineState,
@@ -48,13 +49,13 @@
 class EngineProgram:
     """Keeps one engine's weights at the versions that the trainers have named."""
 
-    def __init__(self, settings: ProcessSettings) -> None:
+    def __init__(self, settings: ProcessSettings, metrics: Metrics) -> None:
         assert settings.engine is not None
         self._settings = settings
         self._log = logger(__name__)
         self._engine = Pool(settings.engine.host, settings.engine.port)
         self._host = (("Host", str(settings.engine)),)
-        self._store = StoreClient(settings.store.host, settings.store.port)
+        self._store = StoreClient(settings.store.host, settings.store.port, metrics)
         self._wanted: dict[str, int] = {}
         self._last_rank = 0
         self._has_news = asyncio.Event()
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -16,6 +16,7 @@
 from ..jobs import JOB_KIND, JobLedger, JobOwner, JobReader
 from ..links import Identity, LinkPool, LinkServer
 from ..logs import logger
+from ..metrics import Metrics
 from ..platform import ProcessSettings, names
 from ..store import Mirror, StoreClient
 from ._ingress import Ingress
@@ -49,12 +50,12 @@
 class EntryProgram:
     """One entry."""
 
-    def __init__(self, settings: ProcessSettings) -> None:
+    def __init__(self, settings: ProcessSettings, metrics: Metrics) -> None:
         self._settings = settings
         self._log = logger(__name__)
-        self._store = StoreClient(settings.store.host, settings.store.port)
+        self._store = StoreClient(settings.store.host, settings.store.port, metrics)
         self._view = FleetView(lambda: self._store.trouble_s)
-        self._forwarder = Forwarder(self._view, settings.domain)
+        self._forwarder = Forwarder(self._view, settings.domain, metrics)
         self._ledger = JobLedger()
         boot = secrets.token_hex(4)
         self._address = f"{settings.host}:{settings.internal_port}"
@@ -70,6 +71,7 @@
             self._store,
             self._forwarder,
             reader,
+            metrics,
         )
         self._peers = Peers(
             settings.node,
@@ -91,7 +93,7 @@
             self._peers,
             self._view,
         )
-        ingress = Ingress(self._view, self._forwarder, calls)
+        ingress = Ingress(self._view, self._forwarder, calls, metrics)
         self._callers = HttpServer(ingress.handle, ServerLimits())
         self._readiness = HttpServer(self._answer_readiness, ServerLimits())
         self._configurations = Mirror(
@@ -115,6 +117,16 @@
         )
         self._view.on_change.append(self._take_limits)
         self._view.on_change.append(self._owner.reconcile_all)
+        metrics.gauge(
+            "pistachioglade_busy_connections",
+            "Callers' connections with a request in progress.",
+            lambda: self._callers.busy_count,
+        )
+        metrics.gauge(
+            "pistachioglade_jobs_running",
+            "Jobs that this entry runs.",
+            lambda: len(self._owner.runs),
+        )
         self._is_leaving = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/pistachioglade/serving/_ingress.py
+++ b/pistachioglade/serving/_ingress.py
@@ -13,6 +13,7 @@
 from ..forwarding import FleetView, Forwarder
 from ..http1 import Reply, Request, Response
 from ..logs import logger
+from ..metrics import Metrics
 from ..platform import names, request_id
 from ._job_calls import JobCalls
 
@@ -35,7 +36,14 @@
 class Ingress:
     """Answers callers."""
 
-    def __init__(self, view: FleetView, forwarder: Forwarder, jobs: JobCalls) -> None:
+    def __init__(
+        self,
+        view: FleetView,
+        forwarder: Forwarder,
+        jobs: JobCalls,
+        metrics: Metrics,
+    ) -> None:
+        self._metrics = metrics
         self._view = view
         self._forwarder = forwarder
         self._jobs = jobs
@@ -58,6 +66,9 @@
             )
             answer = refusal_response(answer)
         reply.send(answer)
+        took_s = asyncio.get_running_loop().time() - request.received_s
+        call = "job" if request.path.startswith(_JOB_PATHS) else "route"
+        self._metrics.request_answered(call, answer.status, took_s)
 
     async def _answer(self, request: Request) -> Response | Refusal:
         configuration = self._view.configuration
--- a/pistachioglade/serving/_storage_program.py
+++ b/pistachioglade/serving/_storage_program.py
@@ -11,6 +11,7 @@
 
 from ..errors import Refusal
 from ..logs import logger
+from ..metrics import Metrics
 from ..platform import (
     Entry,
     ProcessSettings,
@@ -33,10 +34,10 @@
 class StorageProgram:
     """Answers the requests of any machine, its own at once."""
 
-    def __init__(self, settings: ProcessSettings) -> None:
+    def __init__(self, settings: ProcessSettings, metrics: Metrics) -> None:
         self._settings = settings
         self._log = logger(__name__)
-        self._store = StoreClient(settings.store.host, settings.store.port)
+        self._store = StoreClient(settings.store.host, settings.store.port, metrics)
         self._requests = Mirror(
             self._store, names.RETIREMENT_KIND, self._take, _WATCH_HOLD_S
         )
--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -10,6 +10,7 @@
 from ..errors import ErrorKind, Refusal, refuse
 from ..http1 import Pool, Response
 from ..logs import logger
+from ..metrics import Metrics
 from ..platform import (
     Entry,
     EntryChanges,
@@ -49,7 +50,8 @@
 class StoreClient:
     """Calls the store, directly or by way of a peer that still reaches it."""
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int, metrics: Metrics | None = None) -> None:
+        self._metrics = metrics or Metrics()
         self._pool = Pool(host, port)
         self._host_field = (("Host", f"{host}:{port}"),)
         self._log = logger(__name__)
@@ -62,8 +64,6 @@
         self.answered_s: float | None = None
         # When a call was last answered by any way; None before that.
         self.worked_s: float | None = None
-        # Calls made, for the metrics.
-        self.calls = 0
         self._regained = asyncio.Event()
         self._renewals: set[asyncio.Future[None]] = set()
 
@@ -74,7 +74,7 @@
 
     async def direct(self, call: StoreCall, timeout_s: float) -> Response | Refusal:
         """Make one call on this node's own connection."""
-        self.calls += 1
+        begun_s = asyncio.get_running_loop().time()
         fields = (*self._host_field, *(_JSON if call.body else ()))
         try:
             answer = await self._pool.request(
@@ -84,6 +84,10 @@
             reason = f"store gave no answer in {timeout_s} s"
             answer = refuse(ErrorKind.UPSTREAM_LOST, reason)
         self._note(answer)
+        if not call.is_watch:
+            outcome = "lost" if isinstance(answer, Refusal) else str(answer.status)
+            took_s = asyncio.get_running_loop().time() - begun_s
+            self._metrics.store_called(call.method, outcome, took_s)
         return answer
 
     def _note(self, answer: Response | Refusal) -> None:
