--- a/pistachioglade/ctl/_program.py
+++ b/pistachioglade/ctl/_program.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from typing import Any, Final
 
+import attrs
 import click
 import yaml
 
@@ -23,6 +24,12 @@
 from ..messages import structure
 from ..report import Report, render_csv, render_html, render_text
 from ._client import AdminClient, AdminError
+from ._story import (
+    read_log_lines,
+    render_service,
+    service_record,
+    story_of,
+)
 from ._trace import read_spans, render_trace, slowest_trace
 
 EXIT_REFUSED: Final = 1
@@ -308,3 +315,30 @@
     chosen = trace_id or slowest_trace(spans)
     lines = render_trace(spans, chosen)
     context.show({"trace_id": chosen, "hops": lines}, "\n".join([chosen, *lines]))
+
+
+_LOG_FILES = click.argument("paths", nargs=-1, required=True)
+
+
+@main.command("story")
+@click.argument("subject")
+@_LOG_FILES
+@click.pass_obj
+@_reports_errors
+def _story(context: _Context, subject: str, paths: tuple[str, ...]) -> None:
+    """Show each decision about a request, job, item or instance from log files."""
+    lines = list(story_of(read_log_lines(map(Path, paths)), subject))
+    if not lines:
+        raise SettingsError(f"{subject}: no line names it")
+    context.show({"subject": subject, "lines": lines}, "\n".join(lines))
+
+
+@main.command("served")
+@_LOG_FILES
+@click.pass_obj
+@_reports_errors
+def _served(context: _Context, paths: tuple[str, ...]) -> None:
+    """Show from log files who got what, from which versions, how late, what not."""
+    record = service_record(read_log_lines(map(Path, paths)))
+    text = "\n".join(render_service(record)) or "nothing was served or refused"
+    context.show(attrs.asdict(record), text)
--- /dev/null
+++ b/pistachioglade/ctl/tests/test_story.py
@@ -0,0 +1,68 @@
+"""Stories and the service record from log files."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from .. import main
+
+_LINES = [
+    # Lines of two processes, out of order, between output that is none of ours.
+    {"event": "job-accepted", "job": "j", "model": "m", "items": 2, "node": "b"}
+    | {"timestamp": "2026-01-01T00:00:01.000Z"},
+    {"event": "item-tried", "job": "j", "item": "i", "outcome": "broken"}
+    | {"reason": "connection lost", "timestamp": "2026-01-01T00:00:02.000Z"},
+    {"event": "item-tried", "job": "j", "item": "i", "outcome": "complete"}
+    | {"versions": [1, 2], "until_due_s": -0.5, "events": 9}
+    | {"timestamp": "2026-01-01T00:00:03.000Z"},
+    {"event": "results-listed", "job": "j", "results": 1}
+    | {"timestamp": "2026-01-01T00:00:04.000Z"},
+    {"event": "item-given-up", "job": "j", "item": "k", "reason": "422"}
+    | {"timestamp": "2026-01-01T00:00:05.000Z"},
+    {"event": "request-refused", "request": "r", "kind": "overloaded"}
+    | {"timestamp": "2026-01-01T00:00:06.000Z"},
+    {"event": "lines-dropped", "count": 3, "timestamp": "2026-01-01T00:00:07.000Z"},
+]
+
+
+def _files(folder: Path) -> list[str]:
+    first, second = folder / "a.log", folder / "b.log"
+    texts = [json.dumps(line) for line in _LINES]
+    first.write_text("\n".join(["Traceback: none of ours", *texts[1::2], "{half"]))
+    second.write_text("\n".join(f"12.5 node {text}" for text in texts[::2]))
+    return [str(first), str(second)]
+
+
+def test_a_story_is_in_the_order_of_time(tmp_path: Path) -> None:
+    result = CliRunner().invoke(main, ["story", "i", *_files(tmp_path)])
+    assert result.exit_code == 0
+    lines = result.output.splitlines()
+    assert len(lines) == 2
+    assert "outcome=broken reason=connection lost" in lines[0]
+    assert "outcome=complete" in lines[1]
+
+
+def test_the_service_record(tmp_path: Path) -> None:
+    result = CliRunner().invoke(main, ["served", *_files(tmp_path)])
+    assert result.exit_code == 0
+    assert "model m: 1 steps, 2 samples asked," in result.output
+    assert "1 listed, 1 made after they were due" in result.output
+    assert "1,2: 1" in result.output
+    assert "given up: 1 (422)" in result.output
+    assert "refused: 1 overloaded" in result.output
+    assert "3 log lines were dropped" in result.output
+
+
+def test_a_subject_that_no_line_names(tmp_path: Path) -> None:
+    result = CliRunner().invoke(main, ["story", "nobody", *_files(tmp_path)])
+    assert result.exit_code == 2
+    assert "nobody" in result.output
+
+
+def test_a_file_that_is_not_there(tmp_path: Path) -> None:
+    result = CliRunner().invoke(main, ["served", str(tmp_path / "none.log")])
+    assert result.exit_code == 2
+    assert "none.log" in result.output
