Engines hear of versions from the home entry; samples start by their latest start

Change: the home watches versions and tells the processes beside engines over links, which poll every 2 s for the rest; one home up to 24 engines, on entries of 0.8 of the largest; samples are ordered by due time less expected length.

--- a/pistachioglade/decisions/_job_home.py
+++ b/pistachioglade/decisions/_job_home.py
@@ -16,10 +16,10 @@
 
 #: Engines that one entry feeds: 80 slots at 26 events a second are 2,000, a fifth
 #: of a core and 7 Mbit/s. Beyond it, each model of the upstream has a home of its own.
-_ENGINES_PER_HOME: Final = 10
+_ENGINES_PER_HOME: Final = 24
 #: Entries with less than this part of the largest entry's capacity are no homes while
 #: larger ones are there.
-_LEAST_PART: Final = 0.5
+_LEAST_PART: Final = 0.8
 #: Link that goes with one core: an entry that moves 2,000 events in and their results
 #: out again to the store and to readers needs some 20 Mbit/s for a fifth of a core.
 _MBPS_PER_CORE: Final = 100.0
--- a/pistachioglade/decisions/_sample_order.py
+++ b/pistachioglade/decisions/_sample_order.py
@@ -2,18 +2,28 @@
 
 The load it answers: two to four trainers whose steps of some sixty samples arrive
 together, of which a few are ten times as long as the others; a step is worth the groups
-that are whole by its due time, and is over when nine tenths of them are. The step that
-is due first goes first; in it, groups that came before (a trainer always waits for
-these); then the longest sample first, since a long one that starts late is what a step
-waits for, while the short ones fill the slots that come free.
+that are whole by its due time, and is over when nine tenths of them are. Samples that
+have begun go first, then the one whose latest start comes first: its step's due time
+less its expected length. A long sample that starts late is what a step waits for; the
+short ones of an earlier step can wait a moment for it and fill the slots that come
+free. Groups that came before count as a little more urgent, since a trainer always
+waits for these.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import Final
 
 import attrs
 
+#: Time of one output token, in seconds; the sheets' engines take 0.64 to 0.7 ms, and
+#: only the order matters.
+_TOKEN_S: Final = 0.0007
+#: How much more urgent a group is that was left over from an earlier step, in seconds:
+#: the length of a usual sample.
+_CARRIED_S: Final = 1.0
+
 
 @attrs.frozen
 class PendingSample:
@@ -43,11 +53,15 @@
         samples,
         key=lambda item: (
             not item.is_begun,
-            item.due_s,
-            not item.is_carried,
-            -(item.expected_tokens or 0),
+            latest_start_s(item),
             item.group_open,
             item.group_index,
             item.item_id,
         ),
     )
+
+
+def latest_start_s(sample: PendingSample) -> float:
+    """Return when a sample has to start to be done by its step's due time."""
+    length_s = (sample.expected_tokens or 0) * _TOKEN_S
+    return sample.due_s - length_s - (_CARRIED_S if sample.is_carried else 0.0)
--- a/pistachioglade/messages/__init__.py
+++ b/pistachioglade/messages/__init__.py
@@ -43,6 +43,7 @@
     SampleTexts,
     StoredRecord,
     TextRecord,
+    VersionNamed,
 )
 from ._samples import (
     AgentLoad,
@@ -110,6 +111,7 @@
     "StoredRecord",
     "TextRecord",
     "Ticket",
+    "VersionNamed",
     "VersionSpan",
     "decode_frame",
     "encode_frame",
--- a/pistachioglade/messages/_entries.py
+++ b/pistachioglade/messages/_entries.py
@@ -24,6 +24,16 @@
     is_leaving: bool
 
 
+@attrs.frozen
+class VersionNamed:
+    """Tell the process beside an engine of a version that a trainer has named."""
+
+    # Model.
+    model: str
+    # Version.
+    version: int
+
+
 @attrs.frozen
 class StoredRecord:
     """Tell the node that runs a job of an object that the store has taken."""
--- a/pistachioglade/serving/_engine_program.py
+++ b/pistachioglade/serving/_engine_program.py
@@ -8,13 +8,15 @@
 
 import asyncio
 import signal
-from typing import Final
+from typing import Any, Final
 
 from ..decisions import should_load
 from ..errors import ErrorKind, Refusal, refuse
 from ..fleet import Instance
 from ..http1 import Pool, Response
+from ..links import Identity, LinkServer, Peer
 from ..logs import logger
+from ..messages import Acknowledged, VersionNamed
 from ..metrics import Metrics
 from ..platform import (
     Address,
@@ -28,13 +30,14 @@
     names,
 )
 from ..store import StoreClient
+from ._secret import SHARED_SECRET
 
 #: Fencing token of this holder: there is never another one.
 _FENCE: Final = 1
 #: Time for one call to the engine on the same machine.
 _CALL_TIMEOUT_S: Final = 1.0
-#: Time between two looks at the named versions.
-_VERSIONS_S: Final = 0.7
+#: Time between two looks at the named versions; an entry tells them sooner.
+_VERSIONS_S: Final = 2.0
 #: Time between two looks at an engine that is behind or being loaded.
 _LOOK_S: Final = 0.2
 #: Time between two looks at an engine that is up to date; an engine that restarted
@@ -56,6 +59,8 @@
         self._engine = Pool(settings.engine.host, settings.engine.port)
         self._host = (("Host", str(settings.engine)),)
         self._store = StoreClient(settings.store.host, settings.store.port, metrics)
+        identity = Identity(settings.node, SHARED_SECRET)
+        self._links = LinkServer(identity, self._answer)
         self._wanted: dict[str, int] = {}
         self._last_rank = 0
         self._has_news = asyncio.Event()
@@ -63,26 +68,34 @@
     async def _read_versions(self) -> None:
         """Read all named versions, now and then.
 
-        Engines that load later than others cost nothing, as those that have the
-        version before serve meanwhile; so a list that may be old, at a tenth of the
-        price, takes the place of a watch.
+        An entry that watches them tells of each at once. This is for what its word
+        does not reach, so a list that may be old will do, at a tenth of the price.
         """
         while True:
             page = await self._store.page(names.VERSION_KIND, "", may_be_old=True)
             if not isinstance(page, Refusal):
                 for entry in page.entries:
-                    self._take_version(entry)
+                    self._take_entry(entry)
             await asyncio.sleep(_VERSIONS_S)
 
-    def _take_version(self, entry: Entry) -> None:
+    def _take_entry(self, entry: Entry) -> None:
         named = decode_version(entry.value)
         if isinstance(named, Refusal):
             self._log.error("version-refused", reason=named.reason)
             return
-        model, version = named
+        self._take_version(*named, source="store")
+
+    async def _answer(self, message: Any, peer: Peer) -> Any:
+        """Answer an entry that tells of a version."""
+        if not isinstance(message, VersionNamed):
+            return refuse(ErrorKind.BAD_REQUEST, f"not for engines: {message!r:.80}")
+        self._take_version(message.model, message.version, source=peer.node)
+        return Acknowledged()
+
+    def _take_version(self, model: str, version: int, source: str) -> None:
         if version > self._wanted.get(model, 0):
             self._wanted[model] = version
-            self._log.info("version-named", model=model, version=version)
+            self._log.info("version-named", model=model, version=version, source=source)
             self._has_news.set()
 
     async def run(self) -> None:
@@ -95,6 +108,8 @@
             loop.create_task(self._read_versions()),
             loop.create_task(self._follow()),
         ]
+        address = f"{self._settings.host}:{self._settings.internal_port}"
+        await self._links.start(address)
         self._log.info("started", program="engine", engine=str(self._settings.engine))
         await is_leaving.wait()
         for task in tasks:
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -22,10 +22,9 @@
 from ._ingress import Ingress
 from ._job_calls import JobCalls
 from ._peers import ENTRY_KIND, Peers
+from ._secret import SHARED_SECRET
+from ._versions import VersionHerald
 
-#: What entries prove to each other. The platform hands out no secret; its network
-#: keeps others off the internal ports (docs/QUESTIONS.md).
-_SHARED_SECRET: Final = ""
 #: Time in which changes of the configuration are gathered; they have 2 s and more to
 #: come into force.
 _CONFIGURATIONS_GATHER_S: Final = 0.3
@@ -59,7 +58,7 @@
         self._ledger = JobLedger()
         boot = secrets.token_hex(4)
         self._address = f"{settings.host}:{settings.internal_port}"
-        identity = Identity(settings.node, _SHARED_SECRET)
+        identity = Identity(settings.node, SHARED_SECRET)
         links = LinkPool(identity)
         own_name = f"{settings.node}@{self._address}"
         reader = JobReader(own_name, self._ledger, self._store, links)
@@ -82,8 +81,12 @@
             links,
             self._ledger,
             self._owner,
+            self._view,
         )
         self._store.relays = self._peers.relays
+        self._versions = VersionHerald(
+            self._store, self._view, self._peers, links, settings.internal_port
+        )
         self._link_server = LinkServer(identity, self._peers.answer)
         calls = JobCalls(
             self._owner,
@@ -178,7 +181,7 @@
         await self._callers.start(settings.callers.host, settings.callers.port)
         await self._link_server.start(self._address)
         mirrors = (self._configurations, self._instances, self._jobs)
-        for mirror in (*mirrors, self._peers.members):
+        for mirror in (*mirrors, self._peers.members, self._versions.mirror):
             self._spawn(mirror.run())
         self._spawn(self._store.beat(ENTRY_KIND, settings.node))
         self._spawn(self._enable_jobs())
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -18,6 +18,7 @@
     neighbour_of,
 )
 from ..errors import ErrorKind, Refusal, refuse
+from ..forwarding import FleetView
 from ..http1 import Response
 from ..jobs import (
     JOB_KIND,
@@ -77,7 +78,9 @@
         links: LinkPool,
         ledger: JobLedger,
         owner: JobOwner,
+        view: FleetView,
     ) -> None:
+        self._view = view
         self._node = node
         self._mine = {"address": address, "boot": boot, "capacity": capacity}
         self._boot = boot
@@ -149,6 +152,11 @@
             return self._owner.name
         return f"{home}@{self._address_of_member(home)}"
 
+    def is_home(self, upstream: str, model: str) -> bool:
+        """Whether this entry runs new jobs of a model."""
+        engines = sum(1 for _ in self._view.open_instances(upstream))
+        return self.home_for(upstream, model, engines) == self._owner.name
+
     def _is_silent(self, name: str) -> bool:
         """Whether a neighbour has missed a probe."""
         is_old = self._now_s() - self._heard_s > 2 * PROBE_INTERVAL_S
--- /dev/null
+++ b/pistachioglade/serving/_versions.py
@@ -0,0 +1,93 @@
+"""Tells the processes beside engines at once of versions that trainers have named.
+
+The load it answers: a version each second for twenty engines, of which each would wake
+for each with a watch of its own. The home of an upstream's jobs watches for all.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+from ..errors import Refusal
+from ..forwarding import FleetView
+from ..links import LinkPool
+from ..logs import logger
+from ..messages import VersionNamed
+from ..platform import Entry, decode_version, names
+from ..store import Mirror, StoreClient
+from ._peers import Peers
+
+#: Time in which named versions are gathered by an entry that tells them on.
+_GATHER_S: Final = 0.2
+#: The same by one that doesn't, so that it knows them when it becomes the home.
+_GATHER_ELSEWHERE_S: Final = 8.0
+#: Time for an engine's process to answer; a version that it doesn't hear of here it
+#: reads in the store 2 s later.
+_TELL_TIMEOUT_S: Final = 1.0
+
+
+class VersionHerald:
+    """Watches named versions, and tells the engines whose home this entry is."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        view: FleetView,
+        peers: Peers,
+        links: LinkPool,
+        engine_port: int,
+    ) -> None:
+        self._view = view
+        self._peers = peers
+        self._links = links
+        self._engine_port = engine_port
+        self._log = logger(__name__)
+        self._tellings: set[asyncio.Task[None]] = set()
+        # Named versions by model's object.
+        self.mirror = Mirror(
+            store, names.VERSION_KIND, self._take, gather_s=self._gather_s
+        )
+
+    def _upstreams_at_home(self, model: str) -> list[str]:
+        configuration = self._view.configuration
+        if configuration is None:
+            return []
+        return [
+            name
+            for name, upstream in configuration.upstreams.items()
+            if model in upstream.models and self._peers.is_home(name, model)
+        ]
+
+    def _gather_s(self) -> float:
+        models = (
+            decoded[0]
+            for entry in self.mirror.entries.values()
+            if not isinstance(decoded := decode_version(entry.value), Refusal)
+        )
+        is_home = any(self._upstreams_at_home(model) for model in models)
+        return _GATHER_S if is_home else _GATHER_ELSEWHERE_S
+
+    def _take(self, entry: Entry, is_removed: bool) -> None:
+        named = decode_version(entry.value)
+        if is_removed or isinstance(named, Refusal):
+            return
+        message = VersionNamed(*named)
+        for upstream in self._upstreams_at_home(message.model):
+            for instance in self._view.open_instances(upstream):
+                work = self._tell(instance.host, message)
+                task = asyncio.get_running_loop().create_task(work)
+                self._tellings.add(task)
+                task.add_done_callback(self._tellings.discard)
+
+    async def _tell(self, host: str, message: VersionNamed) -> None:
+        address = f"{host}:{self._engine_port}"
+        answer = await self._links.call(address, message, _TELL_TIMEOUT_S)
+        if isinstance(answer, Refusal):
+            self._log.info(
+                "engine-not-told",
+                engine=address,
+                model=message.model,
+                version=message.version,
+                reason=answer.reason,
+            )
