--- /dev/null
+++ b/pistachioglade/platform/tests/test_adapter.py
@@ -0,0 +1,232 @@
+"""The adapter's decoders: what the platform writes, and what it must not write."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ...errors import ErrorKind, Refusal
+from ...fleet import RouteKind, choose_upstream, find_route
+from ...http1 import Response, ResponseHead
+from .. import (
+    ProcessSettings,
+    belongs_to,
+    decode_configuration,
+    decode_engine_state,
+    decode_instance,
+    decode_job,
+    decode_result,
+    decode_version,
+    did_not_run,
+    encode_result,
+    encode_results_page,
+    instance_load,
+    load_settings,
+    names,
+    parse_submission,
+    refusal_of,
+    request_fields,
+)
+
+_SETTINGS = {
+    "node-name": "frontend-a-1",
+    "ip-address": "10.1.0.35",
+    "zone": "a",
+    "listen.frontend": "10.1.0.35:8144",
+    "listen.ready": "10.1.0.35:8140",
+    "internal-port-range": "7660,7675",
+    "platform.address": "10.200.1.7:8142",
+    "platform.max-value-bytes": "1048576",
+    "heartbeat-interval-ms": "1200",
+    "bounds.drain-timeout-ms": "2000",
+    "bounds.grace-period-s": "8",
+    "bounds.config-apply-ms": "2000",
+    "bounds.status-retention-s": "120",
+    "limits.cpu-share": "0.817",
+    "limits.link-mbps": "1000.0",
+    "limits.memory-mb": "300",
+    "unknown-field": "ignored",
+}
+
+
+def _load(folder: Path, fields: dict[str, str]) -> ProcessSettings | Refusal:
+    path = folder / "settings.conf"
+    path.write_text("".join(f"{name}={value}\n" for name, value in fields.items()))
+    return load_settings(path)
+
+
+def test_settings(tmp_path: Path) -> None:
+    settings = _load(tmp_path, _SETTINGS)
+    assert isinstance(settings, ProcessSettings)
+    assert str(settings.callers) == "10.1.0.35:8144"
+    assert settings.internal_port == 7660
+    assert settings.engine is None
+    assert settings.heartbeat_s == 1.2
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("node-name", ""),
+        ("platform.address", "nowhere"),
+        ("internal-port-range", "many"),
+        ("limits.cpu-share", "half"),
+    ],
+)
+def test_a_wrong_setting_is_named(name: str, value: str, tmp_path: Path) -> None:
+    refusal = _load(tmp_path, _SETTINGS | {name: value})
+    assert isinstance(refusal, Refusal)
+    assert name in refusal.reason
+    assert "settings.conf" in refusal.reason
+
+
+def test_a_settings_file_that_is_not_there(tmp_path: Path) -> None:
+    assert isinstance(load_settings(tmp_path / "none"), Refusal)
+
+
+def _route(**fields: Any) -> dict[str, Any]:
+    return {
+        "name": "r",
+        "host": "h.example",
+        "path-prefix": "/a/",
+        "type": "idempotent",
+        "service": "app",
+        "timeout-ms": 800,
+        "target-latency-ms": 190,
+        "max-attempts": 2,
+    } | fields
+
+
+def test_a_configuration() -> None:
+    split = [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}]
+    read = decode_configuration(
+        {
+            "version": 7,
+            "routes": [
+                _route(),
+                _route(**{"path-prefix": "/a/b/", "split": split, "service": None}),
+                _route(**{"path-prefix": "/j/", "type": "rollout", "run-aim-ms": 7500}),
+            ],
+            "services": [
+                {"name": "app", "health-path": "/h", "max-connections": 96},
+                {"name": "lm", "engine-id": {"stride": 57, "models": [{"name": "m"}]}},
+            ],
+            "limits": {"header-timeout-ms": 3000},
+        }
+    )
+    assert not isinstance(read, Refusal)
+    assert read.upstreams["lm"].models == ("m",)
+    assert read.upstreams["lm"].event_tokens == 57
+    assert read.limits.header_timeout_s == 3.0
+    longest = find_route(read, "H.example:80", "/a/b/c")
+    assert longest is not None
+    assert longest.prefix == "/a/b/"
+    chosen = [choose_upstream(longest, f"request-{number}") for number in range(1000)]
+    assert 850 < chosen.count("x") < 950
+    assert chosen[3] == choose_upstream(longest, "request-3")
+    assert find_route(read, "other.example", "/a/") is None
+    job_route = find_route(read, "h.example", "/j/1")
+    assert job_route is not None
+    assert (job_route.kind, job_route.run_aim_s) == (RouteKind.ROLLOUT, 7.5)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{}, {"version": 1}, {"version": 1, "routes": [_route(type="odd")]}]
+    + [{"version": "x", "routes": []}, {"version": 1, "routes": 7}],
+)
+def test_a_configuration_that_can_not_be_read(fields: dict[str, Any]) -> None:
+    assert isinstance(decode_configuration(fields), Refusal)
+
+
+@pytest.mark.parametrize("fields", [{}, {"service": "a", "address": 7}, {"service": 1}])
+def test_an_instance_that_can_not_be_read(fields: dict[str, Any]) -> None:
+    assert isinstance(decode_instance("i-1", fields), Refusal)
+    assert isinstance(decode_version(fields), Refusal)
+
+
+def test_an_instance() -> None:
+    fields = {"service": "lm", "address": "10.0.0.1:80", "state": "draining"}
+    models = [{"name": "m", "version": 4, "adapters": []}]
+    read = decode_instance("i-1", fields | {"slots": 8, "models": models})
+    assert not isinstance(read, Refusal)
+    assert (read.host, read.port, read.is_leaving) == ("10.0.0.1", 80, True)
+    assert read.versions == {"m": 4}
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b"3", b"{", b"\xff", b'"text"', b"{}", b'{"items": [1]}']
+)
+def test_a_submission_that_can_not_be_read(body: bytes) -> None:
+    fields = parse_submission(body)
+    if not isinstance(fields, Refusal):
+        assert isinstance(decode_job("j", "h", "/", fields), Refusal)
+
+
+def test_a_body_that_is_not_base64() -> None:
+    item = {"id": "i", "path": "/", "body": "%%%"}
+    assert isinstance(decode_job("j", "h", "/", {"items": [item]}), Refusal)
+
+
+def test_results_survive_their_encoding() -> None:
+    fields = {"id": "i", "state": "completed", "output-text": "a\nb"}
+    whole = decode_result(fields | {"weight-versions": [6, 7], "score": "s"})
+    assert decode_result(encode_result(whole)) == whole
+    page = json.loads(encode_results_page(5, 2, [json.dumps(encode_result(whole))]))
+    assert (page["total"], page["next"], len(page["results"])) == (5, 3, 1)
+
+
+def test_fields_of_a_forwarded_request() -> None:
+    sent = request_fields(
+        ((names.DEADLINE_MS, "900"), ("X-Other", "kept"), (names.ATTEMPT_ID, "a")),
+        "i-1",
+        0.25,
+    )
+    assert dict(sent) == {
+        "X-Other": "kept",
+        names.ATTEMPT_ID: "a",
+        names.EXPECTED_INSTANCE: "i-1",
+        names.DEADLINE_MS: "250",
+    }
+
+
+def test_what_an_answer_says_of_its_request() -> None:
+    head = ResponseHead(503, ((names.NOT_EXECUTED, "1"), (names.ATTEMPT_ID, "a")))
+    assert did_not_run(head)
+    assert belongs_to(head, "a")
+    assert not belongs_to(head, "b")
+    assert not did_not_run(ResponseHead(503, ()))
+    assert did_not_run(ResponseHead(421, ()))
+    loads = {"3,0,8": (3, 0, 8), "": None, "3,0": None, "a,b,c": None}
+    for text, expected in loads.items():
+        load = instance_load(ResponseHead(200, ((names.INSTANCE_LOAD, text),)))
+        found = None if load is None else (load.running, load.waiting, load.slots)
+        assert found == expected
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b'{"models": 1}', b"[]"])
+def test_an_engine_report_that_can_not_be_read(body: bytes) -> None:
+    assert isinstance(decode_engine_state(Response(200, (), body)), Refusal)
+
+
+@pytest.mark.parametrize(
+    ("status", "is_write", "kind"),
+    [
+        (200, True, None),
+        (404, False, ErrorKind.NOT_FOUND),
+        (409, True, ErrorKind.CONFLICT),
+        (410, False, ErrorKind.HISTORY_GONE),
+        (429, True, ErrorKind.PLATFORM_UNAVAILABLE),
+        (503, True, ErrorKind.PLATFORM_UNAVAILABLE),
+        (500, True, ErrorKind.PLATFORM_UNCERTAIN),
+        (500, False, ErrorKind.PLATFORM_UNAVAILABLE),
+    ],
+)
+def test_the_stores_answers(
+    status: int, is_write: bool, kind: ErrorKind | None
+) -> None:
+    refusal = refusal_of(Response(status), is_write)
+    assert (refusal.kind if refusal else None) is kind
--- a/pistachioglade/serving/_ingress.py
+++ b/pistachioglade/serving/_ingress.py
@@ -56,6 +56,7 @@
             self._log.info(
                 "request-refused",
                 request=request_id(request.fields),
+                job=_job_of(request),
                 path=request.path,
                 kind=answer.kind.value,
                 reason=answer.reason,
@@ -102,6 +103,12 @@
         return await self._jobs.read(rest, int(after), request)
 
 
+def _job_of(request: Request) -> str | None:
+    """Return the job that a call reads or ends; None for other calls."""
+    is_job_call = request.path.startswith(_JOB_PATHS)
+    return request.path.rpartition("/")[2] if is_job_call else None
+
+
 def refusal_response(refusal: Refusal) -> Response:
     """Return the answer that a refusal becomes; it promises no more than is known."""
     status = _STATUSES.get(refusal.kind, refusal.status)
