Old jobs leave the store once their results are no longer promised

Change: the entry that owns a job, or the heir of a gone owner, removes results first and the submission last, after status-retention and 10 s for clocks. Tests: ledger and cleaner against the stand-in.

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -22,6 +22,7 @@
     usual_pace_s,
 )
 from ._job_home import capacity_of, home_key, home_of
+from ._job_retention import may_forget
 from ._keys import Attach, KeyGate, Replay, Run
 from ._lease import LeaseObserver
 from ._membership import BUCKET_COUNT, Membership
@@ -87,6 +88,7 @@
     "is_lost",
     "is_slow",
     "is_storeless",
+    "may_forget",
     "may_retry",
     "may_try_again",
     "neighbour_of",
--- a/pistachioglade/decisions/tests/test_serving_tables.py
+++ b/pistachioglade/decisions/tests/test_serving_tables.py
@@ -14,6 +14,7 @@
     home_of,
     is_lost,
     is_storeless,
+    may_forget,
     may_try_again,
     neighbour_of,
     should_load,
@@ -207,3 +208,19 @@
 )
 def test_checkpoints(new_events: int, since_s: float, saves: bool) -> None:
     assert should_save(new_events, since_s) is saves
+
+
+@pytest.mark.parametrize(
+    ("age_s", "is_ended", "forgets"),
+    [
+        (119.0, True, False),
+        (125.0, True, False),
+        (131.0, True, True),
+        (131.0, False, False),
+        (611.0, False, True),
+    ],
+)
+def test_results_stay_as_long_as_promised(
+    age_s: float, is_ended: bool, forgets: bool
+) -> None:
+    assert may_forget(age_s, 120.0, is_ended) is forgets
--- a/pistachioglade/jobs/__init__.py
+++ b/pistachioglade/jobs/__init__.py
@@ -1,5 +1,6 @@
 """Jobs: how they live in the store, who runs them, and their results."""
 
+from ._cleaner import JobCleaner
 from ._event_stream import EventDecoder, SampleEvent
 from ._ledger import JobLedger, JobState
 from ._owner import JobOwner
@@ -19,6 +20,7 @@
     "JOB_KIND",
     "RESULT_KIND",
     "EventDecoder",
+    "JobCleaner",
     "JobLedger",
     "JobOwner",
     "JobReader",
--- /dev/null
+++ b/pistachioglade/jobs/tests/test_ledger.py
@@ -0,0 +1,154 @@
+"""Jobs built from the store's objects, and their removal."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+
+from ...messages import BatchRecord
+from ...platform import Entry
+from ...store.tests.served import eventually, run, served_store
+from .. import (
+    JOB_KIND,
+    RESULT_KIND,
+    JobCleaner,
+    JobLedger,
+    RecordKind,
+    RecordName,
+    Submission,
+    encode_batch,
+    encode_submission,
+    parse_name,
+)
+
+
+def _submission(accepted_s: float = 0.0, items: int = 4) -> dict[str, Any]:
+    fields = {"items": [{"id": f"i{n}", "path": "/"} for n in range(items)]}
+    return encode_submission(Submission("a@h:1", "b", "h", "/", accepted_s, fields))
+
+
+def _batch(start: int, count: int, writer: str = "w") -> BatchRecord:
+    ids = tuple(f"i{number}" for number in range(start, start + count))
+    return BatchRecord(writer, start, tuple(json.dumps(item) for item in ids), ids)
+
+
+@pytest.mark.parametrize(
+    ("text", "name"),
+    [
+        ("job", RecordName("job", RecordKind.SUBMISSION)),
+        ("job.end", RecordName("job", RecordKind.END)),
+        ("job.owner", RecordName("job", RecordKind.OWNER)),
+        ("job.r000012", RecordName("job", RecordKind.BATCH, 12)),
+    ],
+)
+def test_names(text: str, name: RecordName) -> None:
+    assert parse_name(text) == name
+    assert str(name) == text
+
+
+@pytest.mark.parametrize("text", ["job.x", "job.rx", "job.end.end"])
+def test_names_that_are_not_ours(text: str) -> None:
+    assert parse_name(text) is None
+
+
+async def _ledger() -> JobLedger:
+    ledger = JobLedger()
+    ledger.take(Entry("job", 1, _submission(), None), False)
+    return ledger
+
+
+def test_batches_count_once_and_in_order() -> None:
+    async def work() -> None:
+        ledger = await _ledger()
+        state = ledger.jobs["job"]
+        ledger.add_batch(state, 1, _batch(2, 2))
+        assert state.results == []
+        ledger.add_batch(state, 0, _batch(0, 2))
+        ledger.add_batch(state, 0, _batch(0, 2, "another"))
+        ledger.add_batch(state, 1, _batch(2, 1))
+        assert [json.loads(result) for result in state.results] == ["i0", "i1", "i2"]
+        assert state.is_open
+        ledger.add_batch(state, 2, _batch(3, 1))
+        assert not state.is_open
+
+    run(work)
+
+
+def test_only_a_newer_owner_counts() -> None:
+    async def work() -> None:
+        ledger = await _ledger()
+        state = ledger.jobs["job"]
+        newer = {"owner": "c@h:3", "earlier": "b@h:2"}
+        older = {"owner": "b@h:2", "earlier": "a@h:1"}
+        assert state.owner == "a@h:1"
+        ledger.take(Entry("job.owner", 9, newer, None), False)
+        ledger.take(Entry("job.owner", 5, older, None), False)
+        assert (state.owner, state.earlier_owner) == ("c@h:3", "b@h:2")
+
+    run(work)
+
+
+@pytest.mark.parametrize("value", [None, {}, {"owner": 1}, "text"])
+def test_objects_that_can_not_be_read_change_nothing(value: object) -> None:
+    async def work() -> None:
+        ledger = await _ledger()
+        ledger.take(Entry("other", 2, value, None), False)
+        ledger.take(Entry("job.owner", 2, value, None), False)
+        assert ledger.find("other") is None
+        found = ledger.find("job")
+        assert found is not None
+
+    run(work)
+
+
+def test_readers_wake_with_a_result() -> None:
+    async def work() -> None:
+        ledger = await _ledger()
+        state = ledger.jobs["job"]
+        waiting = asyncio.create_task(state.wait_for_more(0, 3600.0))
+        await asyncio.sleep(0)
+        ledger.add_batch(state, 0, _batch(0, 1))
+        await waiting
+        await state.wait_for_more(1, 0.01)
+
+    run(work)
+
+
+def test_pages_hold_less_than_a_megabyte_and_one_result_at_least() -> None:
+    async def work() -> None:
+        ledger = await _ledger()
+        state = ledger.jobs["job"]
+        ids = ("i0", "i1", "i2")
+        large = tuple("x" * size for size in (950_000, 500_000, 500_000))
+        ledger.add_batch(state, 0, BatchRecord("w", 0, large, ids))
+        assert [len(state.page(after)) for after in range(4)] == [1, 1, 1, 0]
+
+    run(work)
+
+
+def test_old_jobs_leave_the_store_and_young_ones_stay() -> None:
+    async def work() -> None:
+        async with served_store() as store:
+            client = store.client()
+            ledger = JobLedger()
+            for name, accepted_s in (("old", 0.0), ("young", 4e9)):
+                value = _submission(accepted_s)
+                made = await client.create(JOB_KIND, name, value, 5.0)
+                assert isinstance(made, Entry)
+                ledger.take(made, False)
+                batch = encode_batch(_batch(0, 4))
+                await client.create(RESULT_KIND, f"{name}.r000000", batch, 5.0)
+                end = await client.create(JOB_KIND, f"{name}.end", {}, 5.0)
+                assert isinstance(end, Entry)
+                ledger.take(end, False)
+            cleaner = JobCleaner(ledger, client, 120.0, lambda _state: True, 0.01)
+            task = asyncio.create_task(cleaner.run())
+            kept = {(JOB_KIND, "young"), (JOB_KIND, "young.end")}
+            kept.add((RESULT_KIND, "young.r000000"))
+            await eventually(lambda: set(store.standin._objects) == kept)
+            task.cancel()
+
+    run(work)
--- a/pistachioglade/platform/tests/test_adapter.py
+++ b/pistachioglade/platform/tests/test_adapter.py
@@ -135,8 +135,13 @@
 
 @pytest.mark.parametrize(
     "fields",
-    [{}, {"version": 1}, {"version": 1, "routes": [_route(type="odd")]}]
-    + [{"version": "x", "routes": []}, {"version": 1, "routes": 7}],
+    [
+        {},
+        {"version": 1},
+        {"version": 1, "routes": [_route(type="odd")]},
+        {"version": "x", "routes": []},
+        {"version": 1, "routes": 7},
+    ],
 )
 def test_a_configuration_that_can_not_be_read(fields: dict[str, Any]) -> None:
     assert isinstance(decode_configuration(fields), Refusal)
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -13,7 +13,7 @@
 from ..decisions import capacity_of
 from ..forwarding import FleetView, Forwarder
 from ..http1 import HttpServer, Reply, Request, Response, ServerLimits
-from ..jobs import JOB_KIND, JobLedger, JobOwner, JobReader
+from ..jobs import JOB_KIND, JobCleaner, JobLedger, JobOwner, JobReader
 from ..links import Identity, LinkPool, LinkServer
 from ..logs import logger
 from ..metrics import Metrics
@@ -84,6 +84,12 @@
             self._view,
         )
         self._store.relays = self._peers.relays
+        self._cleaner = JobCleaner(
+            self._ledger,
+            self._store,
+            settings.result_retention_s,
+            self._peers.answers_for,
+        )
         self._versions = VersionHerald(
             self._store, self._view, self._peers, links, settings.internal_port
         )
@@ -188,6 +194,7 @@
         self._spawn(self._peers.enrol())
         self._spawn(self._peers.watch_neighbour())
         self._spawn(self._peers.sweep())
+        self._spawn(self._cleaner.run())
         self._spawn(self._owner.look_around())
         self._spawn(self._keep_house())
         self._log.info("started", program="entry", listens=str(settings.callers))
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -306,6 +306,13 @@
                 if is_old and heir == self._node:
                     await self.take_over(state, self._owner.name, False)
 
+    def answers_for(self, state: JobState) -> bool:
+        """Whether this entry owns a job, or is heir of an owner that is gone."""
+        owner = node_of(state.owner)
+        if owner in self.members.entries:
+            return owner == self._node
+        return heir_of(owner, self.members.entries) == self._node
+
     async def take_over(self, state: JobState, owner: str, can_ask: bool) -> None:
         """Write a job's new owner; of two that try, the store takes one.
 
