Groups that come again go on from their texts; texts of one version start anew

Cause: carried groups were neither first nor resumed, and a route with single-version would have listed texts of two versions (VERSION), which no deployment at hand has. Both have process tests.

--- a/pistachioglade/jobs/_job_run.py
+++ b/pistachioglade/jobs/_job_run.py
@@ -25,6 +25,7 @@
 from ..platform import Entry, encode_result
 from ..store import StoreClient
 from ._ledger import JobLedger, JobState
+from ._left_over import LeftOverTexts
 from ._records import RESULT_KIND, RecordKind, RecordName, decode_batch, encode_batch
 from ._sample_try import SampleText, SampleTry, TryEnd, TryResult
 
@@ -90,6 +91,8 @@
         self._writer = writer
         self._writes = count(1)
         self._log = logger(__name__)
+        # Groups that were left over from an earlier job.
+        self._carried: set[str] = set()
         self._unwritten: list[_Finished] = []
         self._has_news = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -140,7 +143,7 @@
                 job_id=self.job.id,
                 item_id=sample.item.id,
                 due_s=self.due_s,
-                is_carried=False,
+                is_carried=sample.item.group in self._carried,
                 group_open=open_by_group[sample.item.group],
                 group_index=self._groups[sample.item.group],
                 expected_tokens=sample.item.expected_tokens,
@@ -218,6 +221,14 @@
             sample.text.versions = set(record.versions)
             sample.failures = record.failures
 
+    def take_left_over(self, left_over: LeftOverTexts) -> None:
+        """Go on from texts of an ended job, and start their groups first."""
+        known = left_over.take(sample.item.id for sample in self.samples.values())
+        self._carried = {
+            self.samples[record.item_id].item.group for record in known.texts
+        }
+        self.take_texts(known)
+
     # Writing.
 
     async def _save_texts(self) -> None:
--- a/pistachioglade/jobs/_owner.py
+++ b/pistachioglade/jobs/_owner.py
@@ -18,6 +18,7 @@
 from ..store import StoreClient
 from ._job_run import JobRun, Sample
 from ._ledger import JobLedger, JobState
+from ._left_over import LeftOverTexts
 from ._reader import JobReader
 from ._sample_try import SampleTry, TryEnd, TryResult
 
@@ -53,6 +54,8 @@
         # Nonce of this process.
         self.boot = boot
         self._reader = reader
+        # Texts of ended jobs, whose groups may come again.
+        self._left_over = LeftOverTexts()
         # Runs whose texts the next owner may still ask for.
         self._handed_over: dict[str, JobRun] = {}
         self._beginning: dict[str, asyncio.Task[None]] = {}
@@ -76,11 +79,15 @@
         """Start or stop a job's run by what the ledger says."""
         run = self.runs.get(state.id)
         should_run = state.is_open and state.owner == self.name
+        if not state.is_open:
+            self._handed_over.pop(state.id, None)
         if run is not None and not should_run:
             del self.runs[state.id]
             run.stop()
             if state.is_open:
                 self._handed_over[state.id] = run
+            else:
+                self._left_over.keep(run.texts())
             self._log.info(
                 "job-run-ended",
                 job=state.id,
@@ -113,6 +120,7 @@
         if state.is_open and state.owner == self.name and self.is_enabled:
             run.drop_listed()
             run.take_texts(made)
+            run.take_left_over(self._left_over)
             self._begin(run)
 
     async def _made_before(self, state: JobState) -> SampleTexts:
@@ -324,6 +332,7 @@
             text,
             run.job.min_version,
             run.job.model,
+            run.route.is_single_version,
         )
         sample.running = one_try
         begun_s = asyncio.get_running_loop().time()
--- a/pistachioglade/jobs/_sample_try.py
+++ b/pistachioglade/jobs/_sample_try.py
@@ -46,6 +46,8 @@
     IMPOSSIBLE = "impossible"
     # The engine's weights are older than the job allows.
     TOO_OLD = "too-old"
+    # Another weight version came, where a text must have just one.
+    MIXED_VERSIONS = "mixed-versions"
     # It was taken off the engine on purpose.
     MOVED = "moved"
 
@@ -97,7 +99,9 @@
         text: SampleText,
         min_version: int,
         model: str,
+        is_single_version: bool,
     ) -> None:
+        self._is_single_version = is_single_version
         self._view = view
         self._instance = instance
         self._record = view.records[instance.id]
@@ -233,6 +237,10 @@
             self._record.versions[self._model] = event.version
         if self._version is not None and self._version < self._min_version:
             return TryResult(TryEnd.TOO_OLD, f"version {self._version}")
+        is_other = bool(text.versions) and self._version not in text.versions
+        if self._is_single_version and is_other:
+            text.clear()
+            return TryResult(TryEnd.MIXED_VERSIONS, f"version {self._version}")
         self._pace(event)
         text.parts.append(event.data)
         text.last_event = event.number
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -223,6 +223,14 @@
             instance.stop()
 
 
+def with_single_versions(value: dict[str, Any]) -> dict[str, Any]:
+    """Return a configuration whose jobs take texts of one weight version only."""
+    for route in value["routes"]:
+        if route["type"] == "rollout":
+            route["single-version"] = True
+    return value
+
+
 def submission(groups: int, size: int, min_version: int = 1, **more: Any) -> bytes:
     """Return a job of ``groups`` times ``size`` items, each with a reward call."""
     items = [
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -23,6 +23,7 @@
     configuration,
     small_fleet,
     submission,
+    with_single_versions,
 )
 
 Case = Callable[[Fleet], Awaitable[None]]
@@ -192,6 +193,54 @@
     _play(tmp_path, case)
 
 
+def test_a_text_of_one_version_starts_anew_when_the_weights_change(
+    tmp_path: Path,
+) -> None:
+    async def case(fleet: Fleet) -> None:
+        await fleet.configure(with_single_versions(configuration(2)))
+        entry = fleet.entries[0]
+        while not any(
+            line["version"] == 2 for line in entry.lines("configuration-in-force")
+        ):
+            await asyncio.sleep(0.05)
+        for engine in _of(fleet, "lm"):
+            engine.events, engine.event_s = 40, 0.02
+        await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(1, 4))
+        while sum(engine.running for engine in _of(fleet, "lm")) < 4:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.3)
+        for engine in _of(fleet, "lm"):
+            engine.versions["m"] = 2
+        results = await fleet.results(entry, "job-1", 4)
+        _check(results, 40)
+        assert all(result["weight-versions"] == [2] for result in results)
+
+    _play(tmp_path, case)
+
+
+def test_a_group_that_comes_again_goes_on_from_its_text(tmp_path: Path) -> None:
+    async def case(fleet: Fleet) -> None:
+        for engine in _of(fleet, "lm"):
+            engine.events, engine.event_s = 60, 0.03
+        entry = fleet.entries[0]
+        await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(1, 2))
+        while sum(engine.running for engine in _of(fleet, "lm")) < 2:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.8)
+        await fleet.call(entry, "DELETE", f"{names.JOB_PATH}job-1")
+        await fleet.call(entry, "POST", f"{JOBS}x", "job-2", submission(2, 2))
+        _check(await fleet.results(entry, "job-2", 4), 60)
+        resumed = {
+            item: event
+            for engine in _of(fleet, "lm")
+            for item, event in engine.resumed.items()
+        }
+        assert set(resumed) == {"item-0-0", "item-0-1"}
+        assert all(event > 10 for event in resumed.values())
+
+    _play(tmp_path, case)
+
+
 def test_an_ended_job_leaves_the_engines(tmp_path: Path) -> None:
     async def case(fleet: Fleet) -> None:
         for engine in _of(fleet, "lm"):
