--- a/pistachioglade/platform/_settings.py
+++ b/pistachioglade/platform/_settings.py
@@ -51,7 +51,7 @@
     engine: Address | None
     # Interval at which instances renew their entries, in seconds.
     heartbeat_s: float
-    # Time after an outage within which instances are back in the list, in seconds.
+    # Time for which an instance that leaves still serves, in seconds.
     drain_s: float
     # Time between SIGTERM and SIGKILL, in seconds.
     grace_s: float
