--- /dev/null
+++ b/pistachioglade/jobs/tests/test_takeover.py
@@ -0,0 +1,76 @@
+"""A job that is taken over: nothing can be listed behind its new owner's back."""
+
+from __future__ import annotations
+
+import json
+
+from ...forwarding import FleetView, Forwarder
+from ...links import Identity, LinkPool
+from ...messages import BatchRecord
+from ...metrics import Metrics
+from ...platform import Entry, names
+from ...store.tests.served import eventually, run, served_store
+from .. import (
+    RESULT_KIND,
+    JobLedger,
+    JobOwner,
+    JobReader,
+    Submission,
+    encode_batch,
+    encode_submission,
+)
+
+_ROUTE = {
+    "name": "jobs",
+    "host": "h",
+    "path-prefix": "/",
+    "type": "rollout",
+    "service": "lm",
+}
+
+
+def test_a_takeover_reads_what_is_listed_and_takes_the_next_number() -> None:
+    """LOST on the grown jalrekha scale-1, TWICE on days with restarts."""
+
+    async def work() -> None:
+        async with served_store() as store:
+            client = store.client()
+            view = FleetView(lambda: None)
+            configuration = {"version": 1, "routes": [_ROUTE]}
+            entry = Entry(names.CONFIGURATION_NAME, 1, configuration, None)
+            view.take_configuration(entry, False)
+            ledger = JobLedger()
+            links = LinkPool(Identity("new", ""))
+            reader = JobReader("new@h:1", ledger, client, links, lambda _job: False)
+            owner = JobOwner(
+                "new@h:1",
+                "boot",
+                view,
+                ledger,
+                client,
+                Forwarder(view, "a"),
+                reader,
+                Metrics(),
+            )
+            owner.enable()
+            listed = BatchRecord("old", 0, (json.dumps("r0"),), ("i0",))
+            made = await client.create(
+                RESULT_KIND, "job.r000000", encode_batch(listed), 5.0
+            )
+            assert isinstance(made, Entry)
+            fields = {"items": [{"id": f"i{number}", "path": "/"} for number in (0, 1)]}
+            submission = Submission("old@h:2", "b", "h", "/", 4e9, fields)
+            ledger.take(Entry("job", 1, encode_submission(submission), None), False)
+            value = {"owner": "new@h:1", "earlier": ""}
+            ledger.take(Entry("job.owner", 2, value, None), False)
+            await eventually(lambda: "job" in owner.runs)
+            assert set(owner.runs["job"].samples) == {"i1"}
+            late = BatchRecord("old", 1, (json.dumps("r1"),), ("i1",))
+            in_force = await client.create(
+                RESULT_KIND, "job.r000001", encode_batch(late), 5.0
+            )
+            assert isinstance(in_force, Entry)
+            assert in_force.value["writer"].startswith("new@h:1:boot")
+            owner.runs["job"].stop()
+
+    run(work)
