Runs follow their route, ages count on the steady clock, reward calls wait for a route

Cause (by reading): a run kept the route that it had begun with, so that a configuration that moves a rollout route had its waiting samples run by the old upstream; an item was given up by an age reckoned from the time of day of another machine; a reward call whose route was missing for a moment gave its sample up. Before: tests/test_serving_changes.py (4) and the cleaner's test fail; after: pass.

--- a/pistachioglade/jobs/_cleaner.py
+++ b/pistachioglade/jobs/_cleaner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 from typing import Final
 
@@ -47,7 +46,8 @@
     def _is_old(self, state: JobState) -> bool:
         if state.submission is None:
             return False
-        age_s = time.time() - state.submission.accepted_s
+        # Counted from when this process saw it: a clock that steps must lose nothing.
+        age_s = asyncio.get_running_loop().time() - state.first_seen_s
         return may_forget(age_s, self._retention_s, state.is_ended)
 
     async def _remove(self, state: JobState) -> None:
--- a/pistachioglade/jobs/_job_run.py
+++ b/pistachioglade/jobs/_job_run.py
@@ -5,8 +5,9 @@
 import asyncio
 import json
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from itertools import count
+from typing import Any
 
 import attrs
 
@@ -83,6 +84,8 @@
         self.state = state
         self.job = job
         self.route = route
+        # Whether the configuration in force has a route for the job.
+        self.is_routed = True
         self.due_s = due_s
         self.give_up_s = give_up_s
         self._on_superseded = on_superseded
@@ -107,18 +110,20 @@
         """The upstream of most of its samples."""
         return self.route.shares[0].upstream
 
+    def follow_route(self, route: Route | None) -> None:
+        """Take the route that is in force now; what runs at an engine goes on there."""
+        self.is_routed = route is not None
+        if route is not None:
+            self.route = route
+
     def start(self) -> None:
         """Start writing results as they come."""
         self.spawn(self._write_results())
         self.spawn(self._save_texts())
 
-    def spawn(self, work: Awaitable[None]) -> asyncio.Task[None]:
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run work that ends with the job."""
-
-        async def run() -> None:
-            await work
-
-        task = asyncio.get_running_loop().create_task(run())
+        task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         task.add_done_callback(self._report_crash)
--- a/pistachioglade/jobs/_ledger.py
+++ b/pistachioglade/jobs/_ledger.py
@@ -50,6 +50,8 @@
     batches: list[BatchRecord] = attrs.field(factory=list)
     # When this process saw its submission, in seconds of the monotonic clock.
     first_seen_s: float = 0.0
+    # Whether the store may have results that aren't known here, though it is new.
+    may_lack_results: bool = False
     # Readers that wait for results.
     waiters: set[asyncio.Future[None]] = attrs.field(factory=set)
 
--- a/pistachioglade/jobs/_owner.py
+++ b/pistachioglade/jobs/_owner.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from ..errors import ErrorKind, Refusal
-from ..fleet import find_route
+from ..fleet import Job, Route, RouteKind, find_route
 from ..forwarding import FleetView, Forwarder
 from ..logs import logger
 from ..messages import SampleTexts
@@ -131,7 +131,7 @@
         assert state.submission is not None
         is_first_owner = not state.owner_revision
         is_new = state.first_seen_s > self.enabled_s
-        return not (is_first_owner and is_new)
+        return state.may_lack_results or not (is_first_owner and is_new)
 
     def disable(self) -> None:
         """Start nothing more, as at a planned stop."""
@@ -153,21 +153,34 @@
         self.reconcile_all()
 
     def reconcile_all(self) -> None:
-        """Look at every job, as when routes have come to be known."""
+        """Look at every job, as when routes have changed."""
+        for run in self.runs.values():
+            run.follow_route(self._route_of(run.job))
         for state in tuple(self._ledger.jobs.values()):
             self.reconcile(state)
 
-    def _run_for(self, state: JobState) -> JobRun | None:
-        """Return a run of a job, not begun; None while its route isn't known."""
+    def _route_of(self, job: Job) -> Route | None:
+        """Return the route of a job; None if the configuration has none for it."""
         configuration = self._view.configuration
-        job = state.job
-        if configuration is None or isinstance(job, Refusal):
+        if configuration is None:
             return None
         route = find_route(configuration, job.host, job.path)
-        if route is None:
+        is_for_jobs = route is not None and route.kind is RouteKind.ROLLOUT
+        return route if is_for_jobs else None
+
+    def _run_for(self, state: JobState) -> JobRun | None:
+        """Return a run of a job, not begun; None while its route isn't known."""
+        job = state.job
+        route = None if isinstance(job, Refusal) else self._route_of(job)
+        if isinstance(job, Refusal) or route is None:
             return None
         assert state.submission is not None
-        age_s = max(0.0, time.time() - state.submission.accepted_s)
+        aim_s = route.run_aim_s or _DEFAULT_AIM_S
+        # The time of day orders steps only: a clock that has stepped must not have
+        # an item given up, so that retention counts from when this process first saw
+        # the job.
+        told_age_s = time.time() - state.submission.accepted_s
+        age_s = min(max(0.0, told_age_s), aim_s)
         accepted_s = asyncio.get_running_loop().time() - age_s
         return JobRun(
             state,
@@ -176,8 +189,8 @@
             self._ledger,
             self._store,
             f"{self.name}:{self.boot}",
-            accepted_s + (route.run_aim_s or _DEFAULT_AIM_S),
-            accepted_s + (route.retention_s or _DEFAULT_RETENTION_S),
+            accepted_s + aim_s,
+            state.first_seen_s + (route.retention_s or _DEFAULT_RETENTION_S),
             self._superseded,
             self._metrics,
         )
@@ -204,8 +217,7 @@
         state = run.state
         self._log.warning("job-run-superseded", job=state.id, owner=state.owner)
         self.runs.pop(state.id, None)
-        # From here on the store may have results that aren't known here.
-        state.first_seen_s = float("-inf")
+        state.may_lack_results = True
         task = asyncio.get_running_loop().create_task(self._learn_owner(state))
         self._beginning[state.id] = task
         run.stop()
--- a/pistachioglade/jobs/_sample_scheduler.py
+++ b/pistachioglade/jobs/_sample_scheduler.py
@@ -7,7 +7,8 @@
 from typing import Final
 
 from ..decisions import choose_for_sample, should_move, start_order
-from ..fleet import Instance, Result, choose_upstream, find_route
+from ..errors import ErrorKind, Refusal, refuse
+from ..fleet import Instance, Result, RewardCall, choose_upstream, find_route
 from ..forwarding import FleetView, Forwarder
 from ..http1 import Request, Response
 from ..logs import logger
@@ -20,6 +21,8 @@
 _LOOK_S: Final = 0.08
 #: Pause before a reward call is made again: the plain services' mean work.
 _REWARD_PAUSE_S: Final = 0.05
+#: Longest such pause: a plain service that refuses has turned over by then.
+_LONGEST_REWARD_PAUSE_S: Final = 0.4
 
 
 class SampleScheduler:
@@ -82,6 +85,8 @@
         task.add_done_callback(ended)
 
     def _candidates(self, run: JobRun, sample: Sample) -> list[Instance]:
+        if not run.is_routed:
+            return []
         upstream = choose_upstream(run.route, sample.item.id)
         model, least = run.job.model, run.job.min_version
         return [
@@ -134,11 +139,12 @@
     def _give_up_old(self) -> None:
         now_s = asyncio.get_running_loop().time()
         for run in self._runs.values():
-            if now_s > run.give_up_s:
-                for sample in tuple(run.samples.values()):
-                    if sample.is_waiting:
-                        sample.is_waiting = False
-                        run.give_up(sample, "retention is over")
+            reason = "retention is over" if now_s > run.give_up_s else ""
+            reason = reason if run.is_routed else "its route was removed"
+            waiting = [item for item in run.samples.values() if item.is_waiting]
+            for sample in waiting if reason else ():
+                sample.is_waiting = False
+                run.give_up(sample, reason)
 
     # What becomes of a sample.
 
@@ -211,30 +217,38 @@
         """Return the score; None if the item was given up."""
         reward = sample.item.reward
         assert reward is not None
+        loop = asyncio.get_running_loop()
         failures = 0
+        pause_s = _REWARD_PAUSE_S
         while True:
-            configuration = self._view.configuration
-            found = configuration and find_route(
-                configuration, reward.host, reward.path
-            )
-            if not found:
-                run.give_up(sample, "no route for its reward call")
-                return None
-            now_s = asyncio.get_running_loop().time()
-            request = Request(
-                "POST",
-                reward.path,
-                (("Host", reward.host),),
-                reward.body,
-                now_s,
-            )
-            call = self._forwarder.call_for(request, reward.id, found)
-            answer = await self._forwarder.forward(call)
+            answer, most_failures = await self._ask_for_score(reward)
             if isinstance(answer, Response) and answer.status < 300:
                 return signature(answer)
             if isinstance(answer, Response) and answer.status == 500:
                 failures += 1
-                if failures >= found.max_attempts:
+                if failures >= most_failures:
                     run.give_up(sample, f"its reward call failed {failures} times")
                     return None
-            await asyncio.sleep(_REWARD_PAUSE_S)
+            if loop.time() > run.give_up_s:
+                run.give_up(sample, "retention is over, its reward call unanswered")
+                return None
+            await asyncio.sleep(pause_s)
+            pause_s = min(2.0 * pause_s, _LONGEST_REWARD_PAUSE_S)
+
+    async def _ask_for_score(
+        self, reward: RewardCall
+    ) -> tuple[Response | Refusal, int]:
+        """Make a reward call; return its answer and how many failures end it."""
+        configuration = self._view.configuration
+        route = configuration and find_route(configuration, reward.host, reward.path)
+        if not route:
+            return refuse(ErrorKind.NOT_FOUND, "no route for the reward call"), 1
+        request = Request(
+            "POST",
+            reward.path,
+            (("Host", reward.host),),
+            reward.body,
+            asyncio.get_running_loop().time(),
+        )
+        call = self._forwarder.call_for(request, reward.id, route)
+        return await self._forwarder.forward(call), route.max_attempts
--- /dev/null
+++ b/tests/test_serving_changes.py
@@ -0,0 +1,134 @@
+"""The serving programs while routes, clocks and settings change under running jobs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from pistachioglade.jobs import JOB_KIND, Submission, encode_submission
+from pistachioglade.standins._fleet_instance import FleetInstance, whole_text
+from pistachioglade.store.tests.served import run
+
+from .serving import JOBS, Fleet, configuration, small_fleet, submission
+
+Case = Callable[[Fleet], Awaitable[None]]
+
+
+def _play(folder: Path, case: Case, entries: int = 1) -> None:
+    async def work() -> None:
+        async with small_fleet(folder, entries) as fleet:
+            await case(fleet)
+
+    run(work)
+
+
+def _of(fleet: Fleet, upstream: str) -> list[FleetInstance]:
+    return [item for item in fleet.instances if item.upstream == upstream]
+
+
+async def _in_force(fleet: Fleet, version: int) -> None:
+    for entry in fleet.entries:
+        while not any(
+            line["version"] == version for line in entry.lines("configuration-in-force")
+        ):
+            await asyncio.sleep(0.05)
+
+
+def test_waiting_samples_follow_their_route_to_another_upstream(tmp_path: Path) -> None:
+    """Found by reading: a run kept the route that it had begun with."""
+
+    async def case(fleet: Fleet) -> None:
+        engines = _of(fleet, "lm")
+        for engine in engines:
+            engine.events, engine.event_s = 30, 0.03
+            engine.slots = 1
+            await fleet.list_instance(engine)
+        other = FleetInstance("other-0", "lm2", ("m",), events=30, event_s=0.03)
+        await fleet.add_instance(other)
+        await asyncio.sleep(1.5)
+        entry = fleet.entries[0]
+        await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(2, 4))
+        while sum(engine.running for engine in engines) < 2:
+            await asyncio.sleep(0.02)
+        moved = configuration(2)
+        for route in moved["routes"]:
+            if route["name"] == "jobs":
+                route["service"] = "lm2"
+        await fleet.configure(moved)
+        await _in_force(fleet, 2)
+        before = sum(sum(engine.runs.values()) for engine in engines)
+        results = await fleet.results(entry, "job-1", 8)
+        assert {result["state"] for result in results} == {"completed"}
+        assert sum(sum(engine.runs.values()) for engine in engines) == before
+        assert sum(other.runs.values()) == 8 - before
+
+    _play(tmp_path, case)
+
+
+def test_waiting_samples_end_with_their_route(tmp_path: Path) -> None:
+    async def case(fleet: Fleet) -> None:
+        for engine in _of(fleet, "lm"):
+            engine.events, engine.event_s, engine.slots = 60, 0.03, 1
+            await fleet.list_instance(engine)
+        await asyncio.sleep(1.5)
+        entry = fleet.entries[0]
+        await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(1, 4))
+        while sum(engine.running for engine in _of(fleet, "lm")) < 2:
+            await asyncio.sleep(0.02)
+        without = configuration(2)
+        without["routes"] = [
+            route for route in without["routes"] if route["name"] != "jobs"
+        ]
+        await fleet.configure(without)
+        results = await fleet.results(entry, "job-1", 4)
+        states = sorted(result["state"] for result in results)
+        assert states == ["completed"] * 2 + ["terminated"] * 2
+
+    _play(tmp_path, case)
+
+
+def test_a_clock_that_steps_gives_no_sample_up(tmp_path: Path) -> None:
+    """Found by reading: a job's age came from the time of day of two machines."""
+
+    async def case(fleet: Fleet) -> None:
+        entry = fleet.entries[0]
+        port = entry.settings.read_text().partition("internal-port-range=")[2]
+        owner = f"{entry.name}@127.0.0.1:{port.partition(',')[0]}"
+        fields = json.loads(submission(1, 2))
+        accepted_s = time.time() - 1000.0
+        stored = Submission(
+            owner, "boot", "case.example", f"{JOBS}x", accepted_s, fields
+        )
+        for engine in _of(fleet, "lm"):
+            engine.faults.refused = 4
+        client = fleet.store.client()
+        await client.create(JOB_KIND, "job-1", encode_submission(stored), 5.0)
+        results = await fleet.results(entry, "job-1", 2)
+        assert [result["state"] for result in results] == ["completed"] * 2
+
+    _play(tmp_path, case)
+
+
+def test_a_sample_waits_for_the_route_of_its_reward_call(tmp_path: Path) -> None:
+    """Found by reading: a reward call without a route gave its sample up."""
+
+    async def case(fleet: Fleet) -> None:
+        entry = fleet.entries[0]
+        without = configuration(2)
+        without["routes"] = [
+            route for route in without["routes"] if route["name"] != "reward"
+        ]
+        await fleet.configure(without)
+        await _in_force(fleet, 2)
+        await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(1, 2))
+        while not entry.lines("item-tried"):
+            await asyncio.sleep(0.05)
+        await fleet.configure(configuration(3))
+        results = await fleet.results(entry, "job-1", 2)
+        assert {result["state"] for result in results} == {"completed"}
+        assert results[0]["output-text"] == whole_text(results[0]["id"], 6)
+
+    _play(tmp_path, case)
