Callers' streams are passed on event by event, resumed where the route allows; a retry budget

Before: a streaming route's answer was passed on when it was whole, so that its first event came with its last; no budget held retries beside max-attempts. Now forwarding/_stream.py passes whole events on as they come, goes on at another instance behind the last event inside the same answer (resumable routes), and ends a broken stream with its connection. A stream that may run once is tried again only after what did not run. Silence for 1.4 s counts as a break (callers leave after 2 s).

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -4,7 +4,14 @@
 a :class:`random.Random`.
 """
 
-from ._call_tries import CallPolicy, may_try_again, refusal_wait_s, try_time_s
+from ._call_tries import (
+    RETRY_PERCENT,
+    CallPolicy,
+    may_try_again,
+    refusal_wait_s,
+    stream_silence_s,
+    try_time_s,
+)
 from ._checkpoints import (
     CHECKPOINT_INTERVAL_S,
     LEAST_SAVED_EVENTS,
@@ -52,6 +59,7 @@
     "MAX_LAG",
     "PROBE_INTERVAL_S",
     "PROBE_TIMEOUT_S",
+    "RETRY_PERCENT",
     "AgentView",
     "Attach",
     "CallChooser",
@@ -100,6 +108,7 @@
     "slow_agents",
     "stable_hash",
     "start_order",
+    "stream_silence_s",
     "try_time_s",
     "usual_pace_s",
     "wave_delay_s",
--- a/pistachioglade/decisions/_call_tries.py
+++ b/pistachioglade/decisions/_call_tries.py
@@ -10,6 +10,10 @@
 
 import attrs
 
+#: Retries that first tries pay for, in percent: with half of an upstream's instances
+#: failing each first try has its retry; an upstream that fails as a whole gets half
+#: as many requests again, instead of as many times more as ``max_attempts`` says.
+RETRY_PERCENT: Final = 50
 #: Part of the time left that a try may take while another is still allowed.
 _TRY_PART: Final = 0.5
 #: Times the route's aim that a try may take: one instance in a hundred works five
@@ -58,3 +62,19 @@
     about a fifth of the aim; half an aim later the instances have turned over twice.
     """
     return round(0.5 * aim_s, 3)
+
+
+#: Silence of a stream after which it goes on elsewhere: callers leave after 2 s, and a
+#: load of weights halts an engine for 0.9 s.
+STREAM_SILENCE_S: Final = 1.4
+
+
+def stream_silence_s(policy: CallPolicy, is_begun: bool, remaining_s: float) -> float:
+    """Return how long the next event of a stream may take.
+
+    A stream that may run once only waits as long as its caller does.
+    """
+    if not policy.is_idempotent:
+        return remaining_s
+    first_s = 0.0 if is_begun else _TRY_AIMS * policy.aim_s
+    return min(remaining_s, max(STREAM_SILENCE_S, first_s))
--- a/pistachioglade/forwarding/__init__.py
+++ b/pistachioglade/forwarding/__init__.py
@@ -1,7 +1,19 @@
 """Forwarding of requests to instances, and what is known of these."""
 
+from ._events import EventDecoder, StreamEvent
 from ._fleet_view import FleetView
 from ._forward import ForwardedCall, Forwarder
+from ._stream import StreamEnd, StreamForwarder, StreamSink
 from ._upstream_call import call_instance
 
-__all__ = ["FleetView", "ForwardedCall", "Forwarder", "call_instance"]
+__all__ = [
+    "EventDecoder",
+    "FleetView",
+    "ForwardedCall",
+    "Forwarder",
+    "StreamEnd",
+    "StreamEvent",
+    "StreamForwarder",
+    "StreamSink",
+    "call_instance",
+]
--- a/pistachioglade/jobs/_event_stream.py
+++ b/pistachioglade/forwarding/_events.py
@@ -1,19 +1,21 @@
-"""Server-sent events of a sample, with the weight version of each."""
+"""Server-sent events of a model engine, with the weight version of each."""
 
 from __future__ import annotations
 
+import re
 from typing import Final
 
 import attrs
 
 from ..platform import names
 
-_SEPARATOR: Final = b"\n\n"
+#: The empty line behind an event.
+_SEPARATOR: Final = re.compile(rb"\r?\n\r?\n")
 
 
 @attrs.frozen
-class SampleEvent:
-    """One event of a sample's stream."""
+class StreamEvent:
+    """One event of a stream."""
 
     # Number of the event; they ascend by one.
     number: int
@@ -21,6 +23,8 @@
     data: str
     # Weight version from this event on; None if it hasn't changed.
     version: int | None
+    # The event as it came, with the empty line behind it.
+    raw: bytes = attrs.field(default=b"", eq=False, repr=False)
 
 
 class EventDecoder:
@@ -29,16 +33,18 @@
     def __init__(self) -> None:
         self._rest = b""
 
-    def feed(self, chunk: bytes) -> list[SampleEvent] | None:
+    def feed(self, chunk: bytes) -> list[StreamEvent] | None:
         """Return the events that are whole now; None if the bytes are no events."""
-        data = self._rest + chunk.replace(b"\r\n", b"\n")
-        *blocks, self._rest = data.split(_SEPARATOR)
-        events: list[SampleEvent] = []
-        for block in blocks:
-            event = _parse(block)
+        data = self._rest + chunk
+        events: list[StreamEvent] = []
+        start = 0
+        for gap in _SEPARATOR.finditer(data):
+            event = _parse(data[start : gap.start()], data[start : gap.end()])
             if event is None:
                 return None
             events.append(event)
+            start = gap.end()
+        self._rest = data[start:]
         return events
 
     @property
@@ -47,9 +53,9 @@
         return not self._rest.strip()
 
 
-def _parse(block: bytes) -> SampleEvent | None:
+def _parse(block: bytes, raw: bytes) -> StreamEvent | None:
     try:
-        lines = block.decode().split("\n")
+        lines = block.decode().replace("\r\n", "\n").split("\n")
     except UnicodeDecodeError:
         return None
     pairs = [line.partition(":") for line in lines if line]
@@ -61,4 +67,4 @@
     data = "\n".join(
         value.removeprefix(" ") for name, _, value in pairs if name == "data"
     )
-    return SampleEvent(int(number), data, int(version) if version else None)
+    return StreamEvent(int(number), data, int(version) if version else None, raw)
--- a/pistachioglade/forwarding/_forward.py
+++ b/pistachioglade/forwarding/_forward.py
@@ -7,7 +7,9 @@
 import attrs
 
 from ..decisions import (
+    RETRY_PERCENT,
     CallPolicy,
+    RetryBudget,
     choose_for_call,
     may_try_again,
     refusal_wait_s,
@@ -41,11 +43,16 @@
     """Sends requests to instances."""
 
     def __init__(
-        self, view: FleetView, domain: str, metrics: Metrics | None = None
+        self,
+        view: FleetView,
+        domain: str,
+        metrics: Metrics | None = None,
+        budget: RetryBudget | None = None,
     ) -> None:
         self._metrics = metrics or Metrics()
         self._view = view
         self._domain = domain
+        self._budget = budget or RetryBudget(RETRY_PERCENT)
         self._log = logger(__name__)
 
     def call_for(
@@ -67,11 +74,12 @@
         )
         tried: list[str] = []
         may_have_run = False
+        self._budget.first_try()
         last: Response | Refusal = refuse(ErrorKind.NO_UPSTREAM, "no instance")
         while True:
             now_s = loop.time()
             remaining_s = call.deadline_s - now_s
-            instance = self._choose(upstream, tried)
+            instance = choose_instance(self._view, upstream, tried, self._domain)
             if instance is None or remaining_s <= 0.0:
                 break
             tried.append(instance.id)
@@ -100,33 +108,37 @@
                 policy, len(tried), did_not_run, remaining_s
             ):
                 break
-        return self._final(last, may_have_run, call, loop.time())
-
-    def _choose(self, upstream: str, tried: list[str]) -> Instance | None:
-        now_s = asyncio.get_running_loop().time()
-        records = [
-            (item.id, self._view.records[item.id])
-            for item in self._view.open_instances(upstream)
-            if item.id not in tried
-        ]
-        chosen = choose_for_call(records, self._domain, now_s)
-        return None if chosen is None else self._view.instances[chosen]
-
-    def _final(
-        self,
-        last: Response | Refusal,
-        may_have_run: bool,
-        call: ForwardedCall,
-        now_s: float,
-    ) -> Response | Refusal:
-        if isinstance(last, Response):
-            return Response(last.status, end_to_end(last.fields), last.body)
-        if may_have_run:
-            kind = (
-                ErrorKind.DEADLINE_EXCEEDED
-                if now_s >= call.deadline_s
-                else ErrorKind.UPSTREAM_LOST
-            )
-            return refuse(kind, last.reason)
-        wait_s = refusal_wait_s(call.route.aim_s)
-        return refuse(ErrorKind.OVERLOADED, last.reason, wait_s)
+            if not self._budget.take():
+                self._log.info("retry-budget-spent", request=call.request_id)
+                break
+        return final_answer(last, may_have_run, call, loop.time())
+
+
+def choose_instance(
+    view: FleetView, upstream: str, tried: list[str], domain: str
+) -> Instance | None:
+    """Return the instance for the next try of a request; None if there is none."""
+    records = [
+        (item.id, view.records[item.id])
+        for item in view.open_instances(upstream)
+        if item.id not in tried
+    ]
+    chosen = choose_for_call(records, domain, asyncio.get_running_loop().time())
+    return None if chosen is None else view.instances[chosen]
+
+
+def final_answer(
+    last: Response | Refusal, may_have_run: bool, call: ForwardedCall, now_s: float
+) -> Response | Refusal:
+    """Return what a caller gets in the end; a refusal promises no more than known."""
+    if isinstance(last, Response):
+        return Response(last.status, end_to_end(last.fields), last.body)
+    if may_have_run:
+        kind = (
+            ErrorKind.DEADLINE_EXCEEDED
+            if now_s >= call.deadline_s
+            else ErrorKind.UPSTREAM_LOST
+        )
+        return refuse(kind, last.reason)
+    wait_s = refusal_wait_s(call.route.aim_s)
+    return refuse(ErrorKind.OVERLOADED, last.reason, wait_s)
--- /dev/null
+++ b/pistachioglade/forwarding/_stream.py
@@ -0,0 +1,308 @@
+"""Passes an instance's stream of events on to a caller, event by event.
+
+A stream that breaks goes on at another instance if its route allows it: behind the last
+event that was passed on whole, inside the same answer. Any other broken stream ends
+with its connection, so that it can't be taken for a whole one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import Protocol
+
+import attrs
+
+from ..decisions import (
+    RETRY_PERCENT,
+    CallPolicy,
+    RetryBudget,
+    may_try_again,
+    stream_silence_s,
+)
+from ..errors import ErrorKind, Refusal, refuse
+from ..fleet import Instance, choose_upstream
+from ..http1 import (
+    CONNECT_TIMEOUT_S,
+    ClientConnection,
+    Exchange,
+    Fields,
+    Response,
+    ResponseHead,
+    end_to_end,
+)
+from ..logs import logger
+from ..metrics import Metrics
+from ..platform import last_event_of, request_fields, resume_fields
+from ._events import EventDecoder, StreamEvent
+from ._fleet_view import FleetView
+from ._forward import ForwardedCall, choose_instance, final_answer
+from ._upstream_call import judge_head, note_conduct
+
+
+class StreamSink(Protocol):
+    """The way back to the caller."""
+
+    def begin(self, status: int, fields: Fields) -> None:
+        """Send the head of the answer."""
+
+    async def write(self, part: bytes) -> None:
+        """Send a part, and wait while the caller doesn't read."""
+
+    def finish(self) -> None:
+        """Send the end of the answer."""
+
+
+class StreamEnd(Enum):
+    """How a caller's stream ended."""
+
+    # Whole.
+    WHOLE = "whole"
+    # Broken off behind its head.
+    BROKEN_OFF = "broken-off"
+
+
+@attrs.define
+class _Progress:
+    """What the caller has had of a stream."""
+
+    # Where events go.
+    sink: StreamSink
+    # Number of the last event; None before the first.
+    last_event: int | None
+    # Whether the head has been sent.
+    is_begun: bool = False
+
+
+class StreamForwarder:
+    """Sends streaming requests to instances."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        domain: str,
+        metrics: Metrics | None = None,
+        budget: RetryBudget | None = None,
+    ) -> None:
+        self._view = view
+        self._domain = domain
+        self._metrics = metrics or Metrics()
+        self._budget = budget or RetryBudget(RETRY_PERCENT)
+        self._log = logger(__name__)
+
+    async def forward(
+        self, call: ForwardedCall, sink: StreamSink
+    ) -> StreamEnd | Response | Refusal:
+        """Pass a stream on; return its end, or the answer to send if none began."""
+        loop = asyncio.get_running_loop()
+        route = call.route
+        upstream = choose_upstream(route, call.request_id)
+        policy = CallPolicy(route.is_resumable, route.max_attempts, route.aim_s)
+        progress = _Progress(sink, last_event_of(call.request.fields))
+        tried: list[str] = []
+        may_have_run = False
+        last: Response | Refusal = refuse(ErrorKind.NO_UPSTREAM, "no instance")
+        self._budget.first_try()
+        while True:
+            instance = choose_instance(self._view, upstream, tried, self._domain)
+            if instance is None or call.deadline_s <= loop.time():
+                break
+            tried.append(instance.id)
+            answer = await self._try(call, policy, instance, progress, len(tried))
+            if answer is None:
+                sink.finish()
+                return StreamEnd.WHOLE
+            last = answer
+            did_not_run = isinstance(last, Refusal) and last.did_not_run
+            may_have_run |= not did_not_run
+            is_final = isinstance(last, Response) and last.status < 500
+            remaining_s = call.deadline_s - loop.time()
+            if is_final or not may_try_again(
+                policy, len(tried), did_not_run, remaining_s
+            ):
+                break
+            if not self._budget.take():
+                self._log.info("retry-budget-spent", request=call.request_id)
+                break
+        if progress.is_begun:
+            return StreamEnd.BROKEN_OFF
+        return final_answer(last, may_have_run, call, loop.time())
+
+    async def _try(
+        self,
+        call: ForwardedCall,
+        policy: CallPolicy,
+        instance: Instance,
+        progress: _Progress,
+        attempt: int,
+    ) -> Response | Refusal | None:
+        """Return None if the stream is whole now, else what ended the try."""
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        resumed_after = progress.last_event
+        record = self._view.records[instance.id]
+        record.outstanding += 1
+        try:
+            answer = await self._exchange(call, policy, instance, progress)
+        finally:
+            record.outstanding -= 1
+        outcome = "whole" if answer is None else _outcome(answer)
+        self._metrics.tried(outcome)
+        self._log.info(
+            "stream-tried",
+            request=call.request_id,
+            route=call.route.name,
+            instance=instance.id,
+            attempt=attempt,
+            outcome=outcome,
+            reason=answer.reason if isinstance(answer, Refusal) else "",
+            resumed_after=resumed_after,
+            last_event=progress.last_event,
+            took_s=round(loop.time() - begun_s, 4),
+        )
+        return answer
+
+    async def _exchange(
+        self,
+        call: ForwardedCall,
+        policy: CallPolicy,
+        instance: Instance,
+        progress: _Progress,
+    ) -> Response | Refusal | None:
+        record = self._view.records[instance.id]
+        pool = self._view.pools[instance.id]
+        loop = asyncio.get_running_loop()
+        connection = await pool.acquire(CONNECT_TIMEOUT_S)
+        if isinstance(connection, Refusal):
+            record.failed(loop.time())
+            return connection
+        head: ResponseHead | None = None
+        answer: Response | Refusal | None = None
+        try:
+            exchange = _send(connection, call, instance, progress)
+            reader = _StreamReader(call, policy, exchange, progress)
+            answer = await reader.run()
+            head = exchange.response
+            if isinstance(answer, Refusal):
+                exchange.abort()
+        except BaseException:
+            connection.close()
+            raise
+        finally:
+            pool.release(connection)
+        fault = answer if isinstance(answer, Refusal) else None
+        note_conduct(record, head, fault, loop.time())
+        return answer
+
+
+def _outcome(answer: Response | Refusal) -> str:
+    return answer.kind.value if isinstance(answer, Refusal) else str(answer.status)
+
+
+def _send(
+    connection: ClientConnection,
+    call: ForwardedCall,
+    instance: Instance,
+    progress: _Progress,
+) -> Exchange:
+    request = call.request
+    remaining_s = call.deadline_s - asyncio.get_running_loop().time()
+    kept = end_to_end(request.fields)
+    if progress.last_event is not None:
+        resumed = resume_fields(progress.last_event)
+        replaced = {name.lower() for name, _ in resumed}
+        kept = (*(item for item in kept if item[0].lower() not in replaced), *resumed)
+    fields = request_fields(kept, instance.id, remaining_s, call.request_id)
+    return connection.start(request.method, request.target, fields, request.body)
+
+
+class _StreamReader:
+    """Reads one try's answer and passes its whole events on."""
+
+    def __init__(
+        self,
+        call: ForwardedCall,
+        policy: CallPolicy,
+        exchange: Exchange,
+        progress: _Progress,
+    ) -> None:
+        self._call = call
+        self._policy = policy
+        self._exchange = exchange
+        self._progress = progress
+        self._decoder = EventDecoder()
+
+    async def run(self) -> Response | Refusal | None:
+        """Read to the end of the stream, or to what ends it sooner."""
+        try:
+            async with asyncio.timeout(self._silence_s()):
+                head = await self._exchange.head()
+        except TimeoutError:
+            return refuse(ErrorKind.UPSTREAM_LOST, "no head in time")
+        if isinstance(head, Refusal):
+            return head
+        fault = judge_head(head, self._call.request_id)
+        if fault is not None:
+            return fault
+        if head.status != 200:
+            return await self._whole(head)
+        return await self._pass_on(head)
+
+    def _silence_s(self) -> float:
+        remaining_s = self._call.deadline_s - asyncio.get_running_loop().time()
+        return stream_silence_s(self._policy, self._progress.is_begun, remaining_s)
+
+    async def _whole(self, head: ResponseHead) -> Response | Refusal:
+        """Return an answer that is no stream."""
+        parts: list[bytes] = []
+        try:
+            async with asyncio.timeout(self._silence_s()):
+                while isinstance(part := await self._exchange.read(), bytes):
+                    parts.append(part)
+        except TimeoutError:
+            return refuse(ErrorKind.UPSTREAM_LOST, "no whole answer in time")
+        if isinstance(part, Refusal):
+            return part
+        return Response(head.status, head.fields, b"".join(parts))
+
+    async def _pass_on(self, head: ResponseHead) -> Refusal | None:
+        while True:
+            try:
+                async with asyncio.timeout(self._silence_s()):
+                    chunk = await self._exchange.read()
+            except TimeoutError:
+                return refuse(ErrorKind.UPSTREAM_LOST, "no event in time")
+            if isinstance(chunk, Refusal):
+                return chunk
+            if chunk is None:
+                return self._ended(head)
+            events = self._decoder.feed(chunk)
+            if events is None:
+                return refuse(ErrorKind.UPSTREAM_LOST, "bytes that are no events")
+            for event in events:
+                fault = await self._add(event, head)
+                if fault is not None:
+                    return fault
+
+    def _ended(self, head: ResponseHead) -> Refusal | None:
+        is_framed = self._exchange.is_framed and self._decoder.is_between_events
+        if not is_framed or self._progress.last_event is None:
+            return refuse(ErrorKind.UPSTREAM_LOST, "the stream's end can't be trusted")
+        self._begin(head)
+        return None
+
+    def _begin(self, head: ResponseHead) -> None:
+        """Send the head; that of the first instance stays for the whole answer."""
+        if not self._progress.is_begun:
+            self._progress.is_begun = True
+            self._progress.sink.begin(head.status, end_to_end(head.fields))
+
+    async def _add(self, event: StreamEvent, head: ResponseHead) -> Refusal | None:
+        last = self._progress.last_event
+        if last is not None and event.number != last + 1:
+            reason = f"event {event.number} after {last}"
+            return refuse(ErrorKind.UPSTREAM_LOST, reason)
+        self._begin(head)
+        self._progress.last_event = event.number
+        await self._progress.sink.write(event.raw)
+        return None
--- a/pistachioglade/forwarding/_upstream_call.py
+++ b/pistachioglade/forwarding/_upstream_call.py
@@ -4,9 +4,10 @@
 
 import asyncio
 
+from ..decisions import InstanceRecord
 from ..errors import ErrorKind, Refusal, refuse
 from ..fleet import Instance
-from ..http1 import CONNECT_TIMEOUT_S, Pool, Request, Response
+from ..http1 import CONNECT_TIMEOUT_S, Pool, Request, Response, ResponseHead
 from ..platform import (
     belongs_to,
     did_not_run,
@@ -43,16 +44,12 @@
     finally:
         record.outstanding -= 1
     judged = _judge(answer, request_id)
-    if isinstance(answer, Response):
-        load = instance_load(answer)
-        if load is not None:
-            record.told_load(load.running, load.waiting, loop.time())
-    if not isinstance(judged, Refusal):
-        record.answered()
-    elif judged.kind is ErrorKind.OVERLOADED:
-        record.refused(loop.time())
-    else:
-        record.failed(loop.time())
+    note_conduct(
+        record,
+        answer if isinstance(answer, Response) else None,
+        judged if isinstance(judged, Refusal) else None,
+        loop.time(),
+    )
     return judged
 
 
@@ -86,12 +83,35 @@
 def _judge(answer: Response | Refusal, request_id: str) -> Response | Refusal:
     if isinstance(answer, Refusal):
         return answer
-    if not belongs_to(answer, request_id):
+    return judge_head(answer, request_id) or answer
+
+
+def judge_head(head: Response | ResponseHead, request_id: str) -> Refusal | None:
+    """Return why an answer doesn't count; None if it does."""
+    if not belongs_to(head, request_id):
         return refuse(ErrorKind.UPSTREAM_LOST, "an answer to another request")
-    if did_not_run(answer):
-        return refuse(ErrorKind.OVERLOADED, f"instance refused with {answer.status}")
-    if answer.status < 300 and not is_signed(answer):
+    if did_not_run(head):
+        return refuse(ErrorKind.OVERLOADED, f"instance refused with {head.status}")
+    if head.status < 300 and not is_signed(head):
         return refuse(ErrorKind.UPSTREAM_LOST, "an answer without its signature")
-    if answer.status in _PROMISES:
-        return refuse(ErrorKind.UPSTREAM_LOST, f"an unmarked {answer.status}")
-    return answer
+    if head.status in _PROMISES:
+        return refuse(ErrorKind.UPSTREAM_LOST, f"an unmarked {head.status}")
+    return None
+
+
+def note_conduct(
+    record: InstanceRecord,
+    head: Response | ResponseHead | None,
+    fault: Refusal | None,
+    now_s: float,
+) -> None:
+    """Enter in an instance's record how it has answered."""
+    load = None if head is None else instance_load(head)
+    if load is not None:
+        record.told_load(load.running, load.waiting, now_s)
+    if fault is None:
+        record.answered()
+    elif fault.kind is ErrorKind.OVERLOADED:
+        record.refused(now_s)
+    else:
+        record.failed(now_s)
--- a/pistachioglade/jobs/tests/test_event_stream.py
+++ b/pistachioglade/forwarding/tests/test_events.py
@@ -1,4 +1,4 @@
-"""Events of a sample, cut at any byte."""
+"""Events of a stream, cut at any byte."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from .. import EventDecoder, SampleEvent
+from .. import EventDecoder, StreamEvent
 
 _STREAM = (
     b"id: 0\ndata: one\n\n"
@@ -16,9 +16,9 @@
     b"id: 2\ndata: a\ndata: b\n\n"
 )
 _EVENTS = [
-    SampleEvent(0, "one", None),
-    SampleEvent(1, "two", 7),
-    SampleEvent(2, "a\nb", None),
+    StreamEvent(0, "one", None),
+    StreamEvent(1, "two", 7),
+    StreamEvent(2, "a\nb", None),
 ]
 
 
@@ -26,12 +26,13 @@
 def test_any_cut_gives_the_same_events(cuts: set[int]) -> None:
     decoder = EventDecoder()
     bounds = [0, *sorted(cuts), len(_STREAM)]
-    events: list[SampleEvent] = []
+    events: list[StreamEvent] = []
     for start, end in pairwise(bounds):
         found = decoder.feed(_STREAM[start:end])
         assert found is not None
         events += found
     assert events == _EVENTS
+    assert b"".join(event.raw for event in events) == _STREAM
     assert decoder.is_between_events
 
 
@@ -53,4 +54,4 @@
 
 def test_line_ends_of_two_bytes() -> None:
     events = EventDecoder().feed(b"id: 4\r\ndata: x\r\n\r\n")
-    assert events == [SampleEvent(4, "x", None)]
+    assert events == [StreamEvent(4, "x", None)]
--- a/pistachioglade/jobs/__init__.py
+++ b/pistachioglade/jobs/__init__.py
@@ -1,7 +1,6 @@
 """Jobs: how they live in the store, who runs them, and their results."""
 
 from ._cleaner import JobCleaner
-from ._event_stream import EventDecoder, SampleEvent
 from ._ledger import JobLedger, JobState
 from ._owner import JobOwner
 from ._reader import JobReader, address_of
@@ -19,7 +18,6 @@
 __all__ = [
     "JOB_KIND",
     "RESULT_KIND",
-    "EventDecoder",
     "JobCleaner",
     "JobLedger",
     "JobOwner",
@@ -27,7 +25,6 @@
     "JobState",
     "RecordKind",
     "RecordName",
-    "SampleEvent",
     "Submission",
     "address_of",
     "encode_batch",
--- a/pistachioglade/jobs/_sample_try.py
+++ b/pistachioglade/jobs/_sample_try.py
@@ -10,7 +10,7 @@
 
 from ..errors import Refusal
 from ..fleet import Instance, Item
-from ..forwarding import FleetView
+from ..forwarding import EventDecoder, FleetView, StreamEvent
 from ..http1 import ClientConnection, Exchange, ResponseHead
 from ..platform import (
     belongs_to,
@@ -20,7 +20,6 @@
     resume_fields,
     weight_version,
 )
-from ._event_stream import EventDecoder, SampleEvent
 
 #: Time without an event after which a stream is taken up elsewhere: a load of weights
 #: halts an engine for 0.9 s, and for twice that while many load.
@@ -227,7 +226,7 @@
             return TryResult(TryEnd.BROKEN, "a stream without events")
         return TryResult(TryEnd.COMPLETE)
 
-    def _add(self, event: SampleEvent) -> TryResult | None:
+    def _add(self, event: StreamEvent) -> TryResult | None:
         text = self._text
         if text.last_event is not None and event.number != text.last_event + 1:
             reason = f"event {event.number} after {text.last_event}"
@@ -248,7 +247,7 @@
             text.versions.add(self._version)
         return None
 
-    def _pace(self, event: SampleEvent) -> None:
+    def _pace(self, event: StreamEvent) -> None:
         now_s = asyncio.get_running_loop().time()
         if self._event_s is not None:
             self._record.paced(now_s - self._event_s, now_s)
--- a/pistachioglade/metrics/_metrics.py
+++ b/pistachioglade/metrics/_metrics.py
@@ -40,6 +40,12 @@
             ("outcome",),
             registry=self._registry,
         )
+        self._streams = Counter(
+            "pistachioglade_streams",
+            "Callers' streams by how they ended, once they had begun.",
+            ("end",),
+            registry=self._registry,
+        )
         self._item_tries = Counter(
             "pistachioglade_item_tries",
             "Tries of samples by how they ended.",
@@ -89,6 +95,10 @@
         """Count a request that went to an instance."""
         self._tries.labels(outcome).inc()
 
+    def stream_ended(self, end: str) -> None:
+        """Count a caller's stream that had begun."""
+        self._streams.labels(end).inc()
+
     def item_tried(self, outcome: str, took_s: float) -> None:
         """Count a try of a sample."""
         self._item_tries.labels(outcome).inc()
--- a/pistachioglade/platform/_engine_calls.py
+++ b/pistachioglade/platform/_engine_calls.py
@@ -45,6 +45,12 @@
     return ((names.LAST_EVENT_ID, str(last_event)),)
 
 
+def last_event_of(fields: Fields) -> int | None:
+    """Return the last event that a caller has had of a stream; None if none."""
+    text = first_field(fields, names.LAST_EVENT_ID)
+    return int(text) if text and text.isdigit() else None
+
+
 def version_fields(version: int) -> Fields:
     """Return the field that ties a request to one weight version."""
     return ((names.EXPECTED_VERSION, str(version)),)
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -10,8 +10,8 @@
 
 import attrs
 
-from ..decisions import capacity_of
-from ..forwarding import FleetView, Forwarder
+from ..decisions import RETRY_PERCENT, RetryBudget, capacity_of
+from ..forwarding import FleetView, Forwarder, StreamForwarder
 from ..http1 import HttpServer, Reply, Request, Response, ServerLimits
 from ..jobs import JOB_KIND, JobCleaner, JobLedger, JobOwner, JobReader
 from ..links import Identity, LinkPool, LinkServer
@@ -54,7 +54,9 @@
         self._log = logger(__name__)
         self._store = StoreClient(settings.store.host, settings.store.port, metrics)
         self._view = FleetView(lambda: self._store.trouble_s)
-        self._forwarder = Forwarder(self._view, settings.domain, metrics)
+        budget = RetryBudget(RETRY_PERCENT)
+        self._forwarder = Forwarder(self._view, settings.domain, metrics, budget)
+        streams = StreamForwarder(self._view, settings.domain, metrics, budget)
         self._ledger = JobLedger()
         boot = secrets.token_hex(4)
         self._address = f"{settings.host}:{settings.internal_port}"
@@ -108,7 +110,7 @@
             self._peers,
             self._view,
         )
-        ingress = Ingress(self._view, self._forwarder, calls, metrics)
+        ingress = Ingress(self._view, self._forwarder, streams, calls, metrics)
         self._callers = HttpServer(ingress.handle, ServerLimits())
         self._readiness = HttpServer(self._answer_readiness, ServerLimits())
         self._configurations = Mirror(
--- a/pistachioglade/serving/_ingress.py
+++ b/pistachioglade/serving/_ingress.py
@@ -10,7 +10,7 @@
 
 from ..errors import ErrorKind, Refusal, refuse
 from ..fleet import RouteKind, find_route
-from ..forwarding import FleetView, Forwarder
+from ..forwarding import FleetView, Forwarder, StreamEnd, StreamForwarder
 from ..http1 import Reply, Request, Response
 from ..logs import logger
 from ..metrics import Metrics
@@ -40,18 +40,23 @@
         self,
         view: FleetView,
         forwarder: Forwarder,
+        streams: StreamForwarder,
         jobs: JobCalls,
         metrics: Metrics,
     ) -> None:
         self._metrics = metrics
         self._view = view
         self._forwarder = forwarder
+        self._streams = streams
         self._jobs = jobs
         self._log = logger(__name__)
 
     async def handle(self, request: Request, reply: Reply) -> None:
         """Answer one request."""
-        answer = await self._answer(request)
+        answer = await self._answer(request, reply)
+        if isinstance(answer, StreamEnd):
+            self._metrics.stream_ended(answer.value)
+            return
         if isinstance(answer, Refusal):
             self._log.info(
                 "request-refused",
@@ -71,7 +76,9 @@
         call = "job" if request.path.startswith(_JOB_PATHS) else "route"
         self._metrics.request_answered(call, answer.status, took_s)
 
-    async def _answer(self, request: Request) -> Response | Refusal:
+    async def _answer(
+        self, request: Request, reply: Reply
+    ) -> Response | Refusal | StreamEnd:
         configuration = self._view.configuration
         if configuration is None:
             return refuse(ErrorKind.NO_CONFIG, "no configuration yet", 0.5)
@@ -87,6 +94,8 @@
         if route.kind is RouteKind.ROLLOUT:
             return await self._jobs.submit(request, caller_id, host, route)
         call = self._forwarder.call_for(request, caller_id, route)
+        if route.kind is RouteKind.STREAMING:
+            return await self._streams.forward(call, reply)
         return await self._forwarder.forward(call)
 
     async def _job_call(self, request: Request) -> Response | Refusal:
