--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -34,7 +34,7 @@
 from ._lease import LeaseObserver
 from ._membership import BUCKET_COUNT, Membership
 from ._placement import AgentView, GroupHomes, PlacementPolicy, slow_agents
-from ._result_batches import batch_wait_s
+from ._result_batches import batch_wait_s, fitting_count
 from ._retry import RetryBudget, may_retry
 from ._ring import fingers
 from ._sample_order import PendingSample, start_order
@@ -88,6 +88,7 @@
     "choose_for_sample",
     "fetch_sources",
     "fingers",
+    "fitting_count",
     "heir_of",
     "hold_s",
     "home_key",
--- a/pistachioglade/decisions/_result_batches.py
+++ b/pistachioglade/decisions/_result_batches.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from itertools import accumulate, takewhile
 from typing import Final
 
 #: Longest time that a result waits while no group hangs on it: what a death of the
@@ -30,3 +32,14 @@
     if has_new_group and whole_groups >= target_groups:
         return 0.0
     return _GROUP_WAIT_S if has_new_group else _IDLE_WAIT_S
+
+
+#: Part of an object that its contents may fill; names and framing take the rest.
+_FILL: Final = 0.95
+
+
+def fitting_count(sizes: Iterable[int], max_bytes: int) -> int:
+    """Return how many of the first things one object holds, one at least."""
+    limit = max_bytes * _FILL
+    sums = accumulate(sizes)
+    return max(1, sum(1 for _ in takewhile(lambda total: total <= limit, sums)))
--- a/pistachioglade/decisions/tests/test_serving_tables.py
+++ b/pistachioglade/decisions/tests/test_serving_tables.py
@@ -9,6 +9,7 @@
     NeighbourView,
     PendingSample,
     batch_wait_s,
+    fitting_count,
     heir_of,
     home_key,
     home_of,
@@ -20,6 +21,7 @@
     should_load,
     should_save,
     start_order,
+    stream_silence_s,
     try_time_s,
 )
 
@@ -224,3 +226,35 @@
     age_s: float, is_ended: bool, forgets: bool
 ) -> None:
     assert may_forget(age_s, 120.0, is_ended) is forgets
+
+
+@pytest.mark.parametrize(
+    ("sizes", "count"),
+    [
+        ([], 1),
+        ([10], 1),
+        ([2000], 1),
+        ([500, 400, 100], 2),
+        ([500, 460], 1),
+        ([95] * 20, 10),
+    ],
+)
+def test_as_many_as_one_object_holds(sizes: list[int], count: int) -> None:
+    assert fitting_count(sizes, 1000) == count
+
+
+@pytest.mark.parametrize(
+    ("is_idempotent", "is_begun", "remaining_s", "silence_s"),
+    [
+        (False, False, 9.0, 9.0),
+        (False, True, 0.2, 0.2),
+        (True, True, 9.0, 1.4),
+        (True, True, 0.5, 0.5),
+        (True, False, 9.0, 2.0),
+    ],
+)
+def test_how_long_a_stream_may_be_silent(
+    is_idempotent: bool, is_begun: bool, remaining_s: float, silence_s: float
+) -> None:
+    policy = CallPolicy(is_idempotent, 3, 1.0)
+    assert stream_silence_s(policy, is_begun, remaining_s) == silence_s
--- a/pistachioglade/jobs/__init__.py
+++ b/pistachioglade/jobs/__init__.py
@@ -13,6 +13,7 @@
     encode_batch,
     encode_submission,
     parse_name,
+    split_submission,
 )
 
 __all__ = [
@@ -30,4 +31,5 @@
     "encode_batch",
     "encode_submission",
     "parse_name",
+    "split_submission",
 ]
--- a/pistachioglade/jobs/_cleaner.py
+++ b/pistachioglade/jobs/_cleaner.py
@@ -11,7 +11,7 @@
 from ..logs import logger
 from ..store import StoreClient
 from ._ledger import JobLedger, JobState
-from ._records import JOB_KIND, RESULT_KIND, RecordKind, RecordName
+from ._records import JOB_KIND, RESULT_KIND, RecordKind, RecordName, part_name
 
 #: Pause between two looks; removals are not urgent.
 _LOOK_S: Final = 5.0
@@ -56,6 +56,13 @@
         while await self._delete(RESULT_KIND, state.id, RecordKind.BATCH, number):
             number += 1
         await self._delete(RESULT_KIND, state.id, RecordKind.TEXTS)
+        submission = state.submission
+        assert submission is not None
+        part = 0
+        while submission.digest and await self._delete_named(
+            RESULT_KIND, part_name(state.id, submission.digest, part)
+        ):
+            part += 1
         for kind in (RecordKind.END, RecordKind.OWNER, RecordKind.SUBMISSION):
             await self._delete(JOB_KIND, state.id, kind)
         self._log.info("job-forgotten", job=state.id, batches=number)
@@ -65,6 +72,9 @@
     ) -> bool:
         """Remove one object; return whether there was one."""
         name = str(RecordName(job_id, kind, number))
+        return await self._delete_named(store_kind, name)
+
+    async def _delete_named(self, store_kind: str, name: str) -> bool:
         while True:
             refusal = await self._store.delete(store_kind, name)
             if refusal is None:
--- a/pistachioglade/jobs/_job_run.py
+++ b/pistachioglade/jobs/_job_run.py
@@ -3,35 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections import Counter
 from collections.abc import Callable, Coroutine
-from itertools import count
 from typing import Any
 
 import attrs
 
-from ..decisions import (
-    CHECKPOINT_INTERVAL_S,
-    LEAST_SAVED_EVENTS,
-    PendingSample,
-    batch_wait_s,
-    should_save,
-)
-from ..errors import Refusal
+from ..decisions import PendingSample
 from ..fleet import Item, Job, Result, Route
 from ..logs import logger
-from ..messages import BatchRecord, SampleTexts, TextRecord, unstructure
+from ..messages import SampleTexts, TextRecord
 from ..metrics import Metrics
-from ..platform import Entry, encode_result
 from ..store import StoreClient
 from ._ledger import JobLedger, JobState
 from ._left_over import LeftOverTexts
-from ._records import RESULT_KIND, RecordKind, RecordName, decode_batch, encode_batch
+from ._result_writer import ResultWriter
 from ._sample_try import SampleText, SampleTry, TryEnd, TryResult
-
-#: Time within which a batch's write is settled before it is tried anew.
-_WRITE_WITHIN_S = 5.0
+from ._text_saver import save_texts
 
 
 @attrs.define(eq=False)
@@ -54,16 +42,6 @@
     is_waiting: bool = True
 
 
-@attrs.frozen
-class _Finished:
-    # The result.
-    result: Result
-    # Group that it belongs to.
-    group: str
-    # When it was finished, in seconds of the monotonic clock.
-    finished_s: float
-
-
 class JobRun:
     """Works on one job until it is done, ended or taken over."""
 
@@ -80,7 +58,6 @@
         on_superseded: Callable[[JobRun], None],
         metrics: Metrics,
     ) -> None:
-        self._metrics = metrics
         self.state = state
         self.job = job
         self.route = route
@@ -88,16 +65,20 @@
         self.is_routed = True
         self.due_s = due_s
         self.give_up_s = give_up_s
-        self._on_superseded = on_superseded
-        self._ledger = ledger
         self._store = store
-        self._writer = writer
-        self._writes = count(1)
+        self._results = ResultWriter(
+            state,
+            job,
+            ledger,
+            store,
+            writer,
+            self._open_groups,
+            lambda: on_superseded(self),
+            metrics,
+        )
         self._log = logger(__name__)
         # Groups that were left over from an earlier job.
         self._carried: set[str] = set()
-        self._unwritten: list[_Finished] = []
-        self._has_news = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._groups = {group: place for place, group in enumerate(_groups_of(job))}
         # Samples that have no result, by item.
@@ -118,8 +99,8 @@
 
     def start(self) -> None:
         """Start writing results as they come."""
-        self.spawn(self._write_results())
-        self.spawn(self._save_texts())
+        self.spawn(self._results.run())
+        self.spawn(save_texts(self._store, self.job.id, self.texts))
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run work that ends with the job."""
@@ -168,11 +149,8 @@
 
     def finish(self, sample: Sample, result: Result) -> None:
         """Queue an item's result for its write."""
-        now_s = asyncio.get_running_loop().time()
-        if self.samples.pop(sample.item.id, None) is None:
-            return
-        self._unwritten.append(_Finished(result, sample.item.group, now_s))
-        self._has_news.set()
+        if self.samples.pop(sample.item.id, None) is not None:
+            self._results.add(result, sample.item.group)
 
     def give_up(self, sample: Sample, reason: str) -> None:
         """End an item without its text."""
@@ -236,38 +214,8 @@
 
     # Writing.
 
-    async def _save_texts(self) -> None:
-        """Save unfinished texts now and then, so that a death costs little."""
-        name = str(RecordName(self.job.id, RecordKind.TEXTS))
-        is_created = False
-        saved_events = 0
-        while True:
-            await asyncio.sleep(CHECKPOINT_INTERVAL_S)
-            made = [
-                item
-                for item in self.texts().texts
-                if len(item.parts) >= LEAST_SAVED_EVENTS
-            ]
-            events = sum(len(item.parts) for item in made)
-            if not should_save(abs(events - saved_events), CHECKPOINT_INTERVAL_S):
-                continue
-            value = unstructure(SampleTexts(tuple(made)))
-            stored: object
-            if is_created:
-                stored = await self._store.replace(RESULT_KIND, name, value, None)
-            else:
-                stored = await self._store.create(RESULT_KIND, name, value, 1.0)
-            if isinstance(stored, Entry):
-                is_created = True
-                saved_events = events
-
-    def _wait_s(self) -> float:
-        open_groups = {sample.item.group for sample in self.samples.values()}
-        whole = len(self._groups) - len(open_groups)
-        waiting_groups = {item.group for item in self._unwritten}
-        has_new_group = bool(waiting_groups - open_groups)
-        is_last = not self.samples
-        return batch_wait_s(whole, self.job.target_groups, has_new_group, is_last)
+    def _open_groups(self) -> set[str]:
+        return {sample.item.group for sample in self.samples.values()}
 
     def drop_listed(self) -> None:
         """Forget samples and results that stand in the store already."""
@@ -276,82 +224,11 @@
             running = self.samples.pop(item_id).running
             if running is not None:
                 running.move()
-        self._unwritten = [
-            item for item in self._unwritten if item.result.item_id not in listed
-        ]
-        if not self._unwritten:
-            self._has_news.clear()
+        self._results.drop_listed()
 
     async def seal(self) -> None:
-        """Keep an earlier owner from listing anything behind what is known here.
-
-        An empty batch takes the next number; whoever meets it stops. Batches that an
-        earlier owner has written meanwhile are taken in first.
-        """
-        while True:
-            number = self.state.next_batch
-            tag = f"{self._writer}:{next(self._writes)}"
-            batch = BatchRecord(tag, len(self.state.results), (), ())
-            name = str(RecordName(self.job.id, RecordKind.BATCH, number))
-            stored = await self._store.create(
-                RESULT_KIND, name, encode_batch(batch), _WRITE_WITHIN_S
-            )
-            if isinstance(stored, Refusal):
-                continue
-            in_force = decode_batch(stored.value)
-            self._ledger.add_batch(self.state, number, in_force)
-            if in_force.writer == tag:
-                return
-
-    async def _write_results(self) -> None:
-        while True:
-            await self._has_news.wait()
-            self.drop_listed()
-            if not self._unwritten:
-                continue
-            oldest_s = self._unwritten[0].finished_s
-            now_s = asyncio.get_running_loop().time()
-            wait_s = oldest_s + self._wait_s() - now_s
-            if wait_s > 0.0:
-                await asyncio.sleep(min(wait_s, 0.05))
-                continue
-            await self._write(tuple(self._unwritten))
-            self.drop_listed()
-
-    async def _write(self, finished: tuple[_Finished, ...]) -> None:
-        """Write a batch at the next free number; keep trying with the same one."""
-        batch = BatchRecord(
-            f"{self._writer}:{next(self._writes)}",
-            len(self.state.results),
-            tuple(json.dumps(encode_result(item.result)) for item in finished),
-            tuple(item.result.item_id for item in finished),
-        )
-        number = self.state.next_batch
-        name = str(RecordName(self.job.id, RecordKind.BATCH, number))
-        while self.state.next_batch == number:
-            stored = await self._store.create(
-                RESULT_KIND, name, encode_batch(batch), _WRITE_WITHIN_S
-            )
-            if isinstance(stored, Entry):
-                in_force = decode_batch(stored.value)
-                self._ledger.add_batch(self.state, number, in_force)
-                age_s = asyncio.get_running_loop().time() - finished[0].finished_s
-                self._metrics.results_listed(len(in_force.results), age_s)
-                is_own = in_force.writer == batch.writer
-                self._log.info(
-                    "results-listed" if is_own else "results-of-another-node",
-                    job=self.job.id,
-                    batch=number,
-                    results=len(in_force.results),
-                    oldest_age_s=round(age_s, 3),
-                )
-                if not is_own:
-                    self._on_superseded(self)
-                return
-            assert isinstance(stored, Refusal)
-            self._log.warning(
-                "results-unwritten", job=self.job.id, batch=number, reason=stored.reason
-            )
+        """Keep an earlier owner from listing anything behind what is known here."""
+        await self._results.seal()
 
 
 def _groups_of(job: Job) -> list[str]:
--- a/pistachioglade/jobs/_ledger.py
+++ b/pistachioglade/jobs/_ledger.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import cached_property
-from typing import Final
+from typing import Any, Final
 
 import attrs
 
@@ -57,8 +57,8 @@
 
     @cached_property
     def job(self) -> Job | Refusal:
-        """The submission, decoded."""
-        assert self.submission is not None
+        """The submission, decoded, once all of it is here."""
+        assert self.submission is not None and self.is_whole
         sent = self.submission
         return decode_job(self.id, sent.host, sent.path, sent.fields)
 
@@ -67,14 +67,22 @@
         """How many items it has."""
         return 0 if isinstance(self.job, Refusal) else len(self.job.items)
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether all of its submission is here."""
+        return self.submission is not None and self.submission.is_whole
+
+    def complete(self, fields: Mapping[str, Any]) -> None:
+        """Take what the trainer sent, joined from its parts."""
+        assert self.submission is not None
+        self.submission = attrs.evolve(self.submission, fields=fields, part_count=0)
+
     @property
     def is_open(self) -> bool:
         """Whether items may still run for it."""
-        return (
-            self.submission is not None
-            and not self.is_ended
-            and len(self.done) < self.total
-        )
+        if self.submission is None or self.is_ended:
+            return False
+        return not self.is_whole or len(self.done) < self.total
 
     def page(self, after: int) -> tuple[str, ...]:
         """Return the results from a position on, as many as a page holds."""
@@ -164,8 +172,9 @@
             case RecordKind.SUBMISSION:
                 if state.submission is None:
                     state.first_seen_s = asyncio.get_running_loop().time()
-                state.submission = decode_submission(entry.value)
-                state.owner = state.owner or state.submission.owner
+                if not state.is_whole:
+                    state.submission = decode_submission(entry.value)
+                    state.owner = state.owner or state.submission.owner
             case RecordKind.OWNER:
                 if entry.revision > state.owner_revision:
                     state.earlier_owner = entry.value["earlier"]
--- a/pistachioglade/jobs/_owner.py
+++ b/pistachioglade/jobs/_owner.py
@@ -101,6 +101,8 @@
     async def _catch_up_and_begin(self, state: JobState) -> None:
         """Begin a job once all its results that the store has are known."""
         try:
+            if not await self._complete(state):
+                return
             run = self._run_for(state)
             if run is None:
                 return
@@ -118,6 +120,19 @@
             run.take_left_over(self._left_over)
             self._begin(run)
 
+    async def _complete(self, state: JobState) -> bool:
+        """Read the rest of a submission; return whether all of it is here now."""
+        while state.is_open:
+            missing = await self._reader.complete(state)
+            if missing is None:
+                return True
+            if missing.kind in (ErrorKind.INTERNAL, ErrorKind.NOT_FOUND):
+                # Parts are written before the job; ones that lack now never come.
+                self._log.error("job-unreadable", job=state.id, reason=missing.reason)
+                return False
+            await asyncio.sleep(_CATCH_UP_PAUSE_S)
+        return False
+
     async def _made_before(self, state: JobState) -> SampleTexts:
         """Return the texts that an earlier owner, or process, has made."""
         if state.earlier_owner:
--- a/pistachioglade/jobs/_reader.py
+++ b/pistachioglade/jobs/_reader.py
@@ -18,7 +18,15 @@
 from ..platform import Entry
 from ..store import StoreClient
 from ._ledger import JobLedger, JobState
-from ._records import JOB_KIND, RESULT_KIND, RecordKind, RecordName, decode_batch
+from ._records import (
+    JOB_KIND,
+    RESULT_KIND,
+    RecordKind,
+    RecordName,
+    decode_batch,
+    joined_fields,
+    part_name,
+)
 
 #: Time for one question to another entry beside the time that it may hold the answer:
 #: the entries are a few ms apart, and a loaded one answers within a few hundred.
@@ -102,6 +110,30 @@
             self._ledger.add_batch(state, number, decode_batch(stored.value))
         return None
 
+    async def complete(self, state: JobState) -> Refusal | None:
+        """Read the parts of a submission that is not whole here."""
+        submission = state.submission
+        assert submission is not None
+        if submission.is_whole:
+            return None
+        texts: list[str] = []
+        # One after the other: together they would fill a small link for longer than
+        # a call to the store may take.
+        for number in range(submission.part_count):
+            name = part_name(state.id, submission.digest, number)
+            stored = await self._store.read(RESULT_KIND, name)
+            if isinstance(stored, Refusal):
+                return stored
+            texts.append(stored.value["text"])
+        try:
+            fields = joined_fields(submission, texts)
+        except (TypeError, ValueError) as error:
+            self._log.error("job-parts-unreadable", job=state.id, reason=str(error))
+            return refuse(ErrorKind.INTERNAL, f"{state.id}: {error}")
+        if not state.is_whole:
+            state.complete(fields)
+        return None
+
     async def texts(self, owner: str, job_id: str) -> SampleTexts:
         """Return what an earlier owner has made of a job; nothing if it is gone."""
         if owner in ("", self._own_name):
--- a/pistachioglade/jobs/_records.py
+++ b/pistachioglade/jobs/_records.py
@@ -13,13 +13,16 @@
 Nobody watches results; readers get them from the owner, or read them:
 
     JOB.rN           the N-th batch of results
+    JOB.pDIGEST.N    the N-th part of a submission that is too large for one object
     JOB.texts        texts of samples that are not finished; the one object that is
                      replaced, since losing any state of it costs only time
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+import hashlib
+import json
+from collections.abc import Iterable, Mapping
 from enum import Enum
 from typing import Any, Final
 
@@ -32,6 +35,17 @@
 #: Kind of batches of results.
 RESULT_KIND: Final = "pistachioglade-results"
 _BATCH_DIGITS: Final = 6
+_DIGEST_DIGITS: Final = 16
+#: Bytes of an object that its names and frame may take.
+_FRAME_BYTES: Final = 1024
+#: Most times longer that ASCII text of JSON becomes as a JSON string: each quote and
+#: each backslash gets one more.
+_ESCAPED_TIMES: Final = 2
+
+
+def stored_bytes(text: str) -> int:
+    """Return the most that a text, encoded as JSON, takes inside an object."""
+    return _ESCAPED_TIMES * len(text)
 
 
 class RecordKind(Enum):
@@ -91,8 +105,65 @@
     path: str
     # Time of day of its acceptance, in seconds since the epoch.
     accepted_s: float
-    # What the trainer sent, undecoded.
+    # What the trainer sent, undecoded; empty while it stands in parts.
     fields: Mapping[str, Any]
+    # Parts in which it stands; 0 if it is here.
+    part_count: int = 0
+    # Digest of the text that the parts make up.
+    digest: str = ""
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether what the trainer sent is here."""
+        return self.part_count == 0
+
+
+@attrs.frozen
+class SubmissionPart:
+    """A part of a submission as the store has it."""
+
+    # Name of its object.
+    name: str
+    # Its text.
+    text: str
+
+
+def split_submission(
+    job_id: str, submission: Submission, max_bytes: int
+) -> tuple[Submission, tuple[SubmissionPart, ...]]:
+    """Return a submission whose object fits, and the parts that it stands in.
+
+    Part names hold the digest of the whole, so that parts of two submissions with one
+    id never mix.
+    """
+    text = json.dumps(submission.fields)
+    if len(text) + _FRAME_BYTES <= max_bytes:
+        return submission, ()
+    digest = hashlib.sha256(text.encode()).hexdigest()[:_DIGEST_DIGITS]
+    step = (max_bytes - _FRAME_BYTES) // _ESCAPED_TIMES
+    parts = tuple(
+        SubmissionPart(part_name(job_id, digest, number), text[start : start + step])
+        for number, start in enumerate(range(0, len(text), step))
+    )
+    kept = attrs.evolve(submission, fields={}, part_count=len(parts), digest=digest)
+    return kept, parts
+
+
+def part_name(job_id: str, digest: str, number: int) -> str:
+    """Return the name of a part's object."""
+    return f"{job_id}.p{digest}.{number:0{_BATCH_DIGITS}d}"
+
+
+def joined_fields(submission: Submission, texts: Iterable[str]) -> dict[str, Any]:
+    """Return what the trainer sent; ValueError if the parts don't make it up."""
+    text = "".join(texts)
+    digest = hashlib.sha256(text.encode()).hexdigest()[:_DIGEST_DIGITS]
+    if digest != submission.digest:
+        raise ValueError(f"parts have digest {digest}, not {submission.digest}")
+    fields = json.loads(text)
+    if not isinstance(fields, dict):
+        raise ValueError("parts make up no object")
+    return fields
 
 
 def encode_submission(submission: Submission) -> dict[str, Any]:
--- /dev/null
+++ b/pistachioglade/jobs/_result_writer.py
@@ -0,0 +1,209 @@
+"""Writes a job's results to the store: in batches, at positions that never change."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from itertools import count
+from typing import Final
+
+import attrs
+
+from ..decisions import batch_wait_s, fitting_count
+from ..errors import ErrorKind, Refusal
+from ..fleet import Job, Result
+from ..logs import logger
+from ..messages import BatchRecord
+from ..metrics import Metrics
+from ..platform import Entry, encode_result
+from ..store import StoreClient
+from ._ledger import JobLedger, JobState
+from ._records import (
+    RESULT_KIND,
+    RecordKind,
+    RecordName,
+    decode_batch,
+    encode_batch,
+    stored_bytes,
+)
+
+#: Time within which a batch's write is settled before it is tried anew.
+_WRITE_WITHIN_S: Final = 5.0
+#: Longest nap while results are gathered, so that a group's last one is seen soon.
+_NAP_S: Final = 0.05
+#: Pause after a write that the store refused for good.
+_REFUSED_PAUSE_S: Final = 0.5
+
+
+@attrs.frozen
+class _Finished:
+    # The result.
+    result: Result
+    # Its text as readers get it.
+    encoded: str
+    # Group that it belongs to.
+    group: str
+    # When it was finished, in seconds of the monotonic clock.
+    finished_s: float
+
+
+class ResultWriter:
+    """Gathers the results of one job and writes them."""
+
+    def __init__(
+        self,
+        state: JobState,
+        job: Job,
+        ledger: JobLedger,
+        store: StoreClient,
+        writer: str,
+        open_groups: Callable[[], set[str]],
+        on_superseded: Callable[[], None],
+        metrics: Metrics,
+    ) -> None:
+        self._state = state
+        self._job = job
+        self._ledger = ledger
+        self._store = store
+        self._writer = writer
+        # Groups that have a sample without a result.
+        self._open_groups = open_groups
+        self._on_superseded = on_superseded
+        self._metrics = metrics
+        self._log = logger(__name__)
+        self._writes = count(1)
+        self._group_count = len({item.group for item in job.items})
+        self._unwritten: list[_Finished] = []
+        self._has_news = asyncio.Event()
+
+    def add(self, result: Result, group: str) -> None:
+        """Queue a result for its write."""
+        now_s = asyncio.get_running_loop().time()
+        encoded = json.dumps(encode_result(result))
+        self._unwritten.append(_Finished(result, encoded, group, now_s))
+        self._has_news.set()
+
+    def drop_listed(self) -> None:
+        """Forget results that stand in the store already."""
+        listed = self._state.done
+        self._unwritten = [
+            item for item in self._unwritten if item.result.item_id not in listed
+        ]
+        if not self._unwritten:
+            self._has_news.clear()
+
+    def _next_tag(self) -> str:
+        return f"{self._writer}:{next(self._writes)}"
+
+    async def seal(self) -> None:
+        """Keep an earlier owner from listing anything behind what is known here.
+
+        An empty batch takes the next number; whoever meets it stops. Batches that an
+        earlier owner has written meanwhile are taken in first.
+        """
+        state = self._state
+        while True:
+            number = state.next_batch
+            batch = BatchRecord(self._next_tag(), len(state.results), (), ())
+            name = str(RecordName(state.id, RecordKind.BATCH, number))
+            stored = await self._store.create(
+                RESULT_KIND, name, encode_batch(batch), _WRITE_WITHIN_S
+            )
+            if isinstance(stored, Refusal):
+                continue
+            in_force = decode_batch(stored.value)
+            self._ledger.add_batch(state, number, in_force)
+            if in_force.writer == batch.writer:
+                return
+
+    def _wait_s(self) -> float:
+        open_groups = self._open_groups()
+        whole = self._group_count - len(open_groups)
+        waiting = {item.group for item in self._unwritten}
+        return batch_wait_s(
+            whole,
+            self._job.target_groups,
+            has_new_group=bool(waiting - open_groups),
+            is_last=not open_groups,
+        )
+
+    async def run(self) -> None:
+        """Write results as they come, for good."""
+        while True:
+            await self._has_news.wait()
+            self.drop_listed()
+            if not self._unwritten:
+                continue
+            now_s = asyncio.get_running_loop().time()
+            wait_s = self._unwritten[0].finished_s + self._wait_s() - now_s
+            if wait_s > 0.0:
+                await asyncio.sleep(min(wait_s, _NAP_S))
+                continue
+            sizes = (stored_bytes(item.encoded) for item in self._unwritten)
+            most = fitting_count(sizes, self._store.max_object_bytes)
+            await self._write(tuple(self._unwritten[:most]))
+            self.drop_listed()
+
+    async def _write(self, finished: tuple[_Finished, ...]) -> None:
+        """Write a batch at the next free number; keep trying with the same one."""
+        state = self._state
+        batch = BatchRecord(
+            self._next_tag(),
+            len(state.results),
+            tuple(item.encoded for item in finished),
+            tuple(item.result.item_id for item in finished),
+        )
+        number = state.next_batch
+        name = str(RecordName(state.id, RecordKind.BATCH, number))
+        while state.next_batch == number:
+            stored = await self._store.create(
+                RESULT_KIND, name, encode_batch(batch), _WRITE_WITHIN_S
+            )
+            if isinstance(stored, Entry):
+                self._took(number, batch, decode_batch(stored.value), finished)
+                return
+            assert isinstance(stored, Refusal)
+            self._log.warning(
+                "results-unwritten", job=state.id, batch=number, reason=stored.reason
+            )
+            if stored.kind is ErrorKind.TOO_LARGE:
+                self._give_up_largest(finished)
+                return
+            if stored.kind is ErrorKind.BAD_REQUEST:
+                await asyncio.sleep(_REFUSED_PAUSE_S)
+
+    def _took(
+        self,
+        number: int,
+        sent: BatchRecord,
+        in_force: BatchRecord,
+        finished: tuple[_Finished, ...],
+    ) -> None:
+        """Take the batch that the store has at a number, this or another node's."""
+        self._ledger.add_batch(self._state, number, in_force)
+        age_s = asyncio.get_running_loop().time() - finished[0].finished_s
+        self._metrics.results_listed(len(in_force.results), age_s)
+        is_own = in_force.writer == sent.writer
+        self._log.info(
+            "results-listed" if is_own else "results-of-another-node",
+            job=self._state.id,
+            batch=number,
+            results=len(in_force.results),
+            oldest_age_s=round(age_s, 3),
+        )
+        if not is_own:
+            self._on_superseded()
+
+    def _give_up_largest(self, finished: tuple[_Finished, ...]) -> None:
+        """End the item whose text no object of the store can hold."""
+        largest = max(finished, key=lambda item: len(item.encoded))
+        item_id = largest.result.item_id
+        self._log.error(
+            "item-given-up",
+            job=self._state.id,
+            item=item_id,
+            reason=f"its result of {len(largest.encoded)} bytes fits no object",
+        )
+        self._unwritten.remove(largest)
+        self.add(Result(item_id, False), largest.group)
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -52,7 +52,12 @@
     def __init__(self, settings: ProcessSettings, metrics: Metrics) -> None:
         self._settings = settings
         self._log = logger(__name__)
-        self._store = StoreClient(settings.store.host, settings.store.port, metrics)
+        self._store = StoreClient(
+            settings.store.host,
+            settings.store.port,
+            metrics,
+            settings.max_object_bytes,
+        )
         self._view = FleetView(lambda: self._store.trouble_s)
         budget = RetryBudget(RETRY_PERCENT)
         self._forwarder = Forwarder(self._view, settings.domain, metrics, budget)
--- a/pistachioglade/serving/_job_calls.py
+++ b/pistachioglade/serving/_job_calls.py
@@ -4,14 +4,16 @@
 
 import asyncio
 import time
-from typing import Final
+from collections.abc import Mapping
+from typing import Any, Final
 
 from ..errors import ErrorKind, Refusal, refuse
-from ..fleet import Route
+from ..fleet import Job, Route
 from ..forwarding import FleetView
 from ..http1 import Request, Response
 from ..jobs import (
     JOB_KIND,
+    RESULT_KIND,
     JobLedger,
     JobOwner,
     JobReader,
@@ -20,6 +22,7 @@
     RecordName,
     Submission,
     encode_submission,
+    split_submission,
 )
 from ..logs import logger
 from ..platform import Entry, decode_job, encode_results_page, parse_submission, wait_s
@@ -75,22 +78,8 @@
         job = decode_job(job_id, host, request.path, fields)
         if isinstance(job, Refusal):
             return job
-        upstream = route.shares[0].upstream
-        engines = sum(1 for _ in self._view.open_instances(upstream))
-        submission = Submission(
-            self._peers.home_for(upstream, job.model, engines),
-            self._owner.boot,
-            host,
-            request.path,
-            time.time(),
-            fields,
-        )
-        stored = await self._store.create(
-            JOB_KIND, job_id, encode_submission(submission), _ACCEPT_WITHIN_S
-        )
+        stored = await self._store_submission(job, route, fields)
         if isinstance(stored, Refusal):
-            if stored.kind is ErrorKind.PLATFORM_UNAVAILABLE:
-                return refuse(stored.kind, stored.reason, _RETRY_S)
             return stored
         self._log.info(
             "job-accepted",
@@ -106,6 +95,37 @@
         self._tell_owner(job_id, stored)
         return Response(202)
 
+    async def _store_submission(
+        self, job: Job, route: Route, fields: Mapping[str, Any]
+    ) -> Entry | Refusal:
+        """Keep a job in the store; it is accepted once its own object is there."""
+        upstream = route.shares[0].upstream
+        engines = sum(1 for _ in self._view.open_instances(upstream))
+        submission = Submission(
+            self._peers.home_for(upstream, job.model, engines),
+            self._owner.boot,
+            job.host,
+            job.path,
+            time.time(),
+            fields,
+        )
+        kept, parts = split_submission(job.id, submission, self._store.max_object_bytes)
+        for part in parts:
+            made = await self._store.create(
+                RESULT_KIND, part.name, {"text": part.text}, _ACCEPT_WITHIN_S
+            )
+            if isinstance(made, Refusal):
+                # A part alone is no job, whatever became of its write.
+                reason = f"{part.name}: {made.reason}"
+                return refuse(ErrorKind.PLATFORM_UNAVAILABLE, reason, _RETRY_S)
+        stored = await self._store.create(
+            JOB_KIND, job.id, encode_submission(kept), _ACCEPT_WITHIN_S
+        )
+        if not isinstance(stored, Refusal):
+            return stored
+        is_known = stored.kind is ErrorKind.PLATFORM_UNAVAILABLE
+        return _come_again(stored) if is_known else stored
+
     def _tell_owner(self, job_id: str, stored: Entry) -> None:
         """Tell the node that runs a job of a record, without waiting for it."""
         state = self._ledger.find(job_id)
@@ -117,20 +137,22 @@
         task.add_done_callback(self._tellings.discard)
 
     async def _find(self, job_id: str) -> JobState | Refusal:
-        """Return a job that the ledger or the store knows."""
+        """Return a job that the ledger or the store knows, with all that was sent."""
         state = self._ledger.find(job_id)
-        if state is not None:
-            return state
-        if not job_id or "." in job_id or "/" in job_id:
-            return refuse(ErrorKind.NOT_FOUND, f"{job_id}: no such job")
-        stored = await self._store.read(JOB_KIND, job_id)
-        if isinstance(stored, Refusal):
-            if stored.kind is ErrorKind.NOT_FOUND:
-                return stored
-            return refuse(ErrorKind.PLATFORM_UNAVAILABLE, stored.reason, _RETRY_S)
-        self._ledger.take(stored, False)
-        found = self._ledger.find(job_id)
-        return found or refuse(ErrorKind.INTERNAL, f"{job_id}: unreadable")
+        if state is None:
+            if not job_id or "." in job_id or "/" in job_id:
+                return refuse(ErrorKind.NOT_FOUND, f"{job_id}: no such job")
+            stored = await self._store.read(JOB_KIND, job_id)
+            if isinstance(stored, Refusal):
+                if stored.kind is ErrorKind.NOT_FOUND:
+                    return stored
+                return _come_again(stored)
+            self._ledger.take(stored, False)
+            state = self._ledger.find(job_id)
+        if state is None:
+            return refuse(ErrorKind.INTERNAL, f"{job_id}: unreadable")
+        missing = await self._reader.complete(state)
+        return state if missing is None else _come_again(missing)
 
     async def read(
         self, job_id: str, after: int, request: Request
@@ -141,7 +163,7 @@
             return state
         results = await self._reader.page(state, after, wait_s(request.fields))
         if isinstance(results, Refusal):
-            return refuse(ErrorKind.PLATFORM_UNAVAILABLE, results.reason, _RETRY_S)
+            return _come_again(results)
         page = encode_results_page(state.total, after, results)
         return Response(200, _JSON, page)
 
@@ -171,3 +193,7 @@
             self._tell_owner(job_id, stored)
             self._log.info("job-ended", job=job_id, results=len(state.results))
         return Response(200)
+
+
+def _come_again(refusal: Refusal) -> Refusal:
+    return refuse(ErrorKind.PLATFORM_UNAVAILABLE, refusal.reason, _RETRY_S)
--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -43,6 +43,9 @@
 #: never be answered, and are sent anew.
 _BEAT_S: Final = 1.0
 
+#: Largest object where the settings name none; the platform's pages say a megabyte.
+MAX_OBJECT_BYTES: Final = 1_048_576
+
 #: Makes a call by way of another node.
 Relay = Callable[[StoreCall, float], Awaitable[Response | Refusal]]
 
@@ -50,8 +53,16 @@
 class StoreClient:
     """Calls the store, directly or by way of a peer that still reaches it."""
 
-    def __init__(self, host: str, port: int, metrics: Metrics | None = None) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        metrics: Metrics | None = None,
+        max_object_bytes: int = MAX_OBJECT_BYTES,
+    ) -> None:
         self._metrics = metrics or Metrics()
+        # Largest object that the store takes.
+        self.max_object_bytes = max_object_bytes
         self._pool = Pool(host, port)
         self._host_field = (("Host", f"{host}:{port}"),)
         self._log = logger(__name__)
--- a/pistachioglade/store/tests/served.py
+++ b/pistachioglade/store/tests/served.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import asynccontextmanager
 from typing import TypeVar
 from urllib.parse import parse_qs, unquote
@@ -15,6 +16,8 @@
 from .. import StoreClient
 
 T = TypeVar("T")
+#: Calls that are answered at once; five watches each of a dozen processes and more.
+_THREADS = 128
 
 
 class ServedStore:
@@ -28,6 +31,8 @@
         self.dropped_answers = 0
         self.calls: list[str] = []
         self.port = 0
+        # Each watch holds one, also of processes that have been killed meanwhile.
+        self._threads = ThreadPoolExecutor(_THREADS)
 
     async def handle(self, request: Request, reply: Reply) -> None:
         self.calls.append(f"{request.method} {request.target}")
@@ -40,7 +45,8 @@
             request.body,
             {},
         )
-        answer = await asyncio.to_thread(self.standin.handle, asked)
+        loop = asyncio.get_running_loop()
+        answer = await loop.run_in_executor(self._threads, self.standin.handle, asked)
         if self.dropped_answers:
             self.dropped_answers -= 1
             return
