Settings are followed while a process runs, with SIGHUP and without

Before: SIGHUP wrote a line; a rewritten file was first read at the next start. Now each serving program looks at its file on SIGHUP and every 2 s: the store's address, grace period, retention, object limit and the entry's capacity are taken over, other fields are named in the log for the next start, a faulty file is refused with its field. tests/test_serving_changes.py: four cases.

--- a/pistachioglade/jobs/_cleaner.py
+++ b/pistachioglade/jobs/_cleaner.py
@@ -30,7 +30,8 @@
     ) -> None:
         self._ledger = ledger
         self._store = store
-        self._retention_s = retention_s
+        # Time for which results are promised after a job's submission.
+        self.retention_s = retention_s
         self._is_mine = is_mine
         self._look_s = look_s
         self._log = logger(__name__)
@@ -48,7 +49,7 @@
             return False
         # Counted from when this process saw it: a clock that steps must lose nothing.
         age_s = asyncio.get_running_loop().time() - state.first_seen_s
-        return may_forget(age_s, self._retention_s, state.is_ended)
+        return may_forget(age_s, self.retention_s, state.is_ended)
 
     async def _remove(self, state: JobState) -> None:
         """Remove results first and the submission last, so that a stop loses none."""
--- a/pistachioglade/serving/__main__.py
+++ b/pistachioglade/serving/__main__.py
@@ -18,6 +18,7 @@
 from ..logs import configure_bounded_logs
 from ..metrics import METRICS_PORT_VARIABLE, Metrics, serve_metrics
 from ..platform import SETTINGS_VARIABLE, ProcessSettings, load_settings
+from ._settings_watch import SettingsWatch
 
 #: Exit status for wrong usage or settings.
 _USAGE: Final = 2
@@ -55,12 +56,16 @@
         "Log lines dropped because they were too many or their reader too slow.",
         lambda: writer.dropped,
     )
-    asyncio.run(_run(arguments[0], settings, metrics, int(port or 0)))
+    asyncio.run(_run(arguments[0], Path(path), settings, metrics, int(port or 0)))
     return 0
 
 
 async def _run(
-    role: str, settings: ProcessSettings, metrics: Metrics, metrics_port: int
+    role: str,
+    path: Path,
+    settings: ProcessSettings,
+    metrics: Metrics,
+    metrics_port: int,
 ) -> None:
     if metrics_port:
         await serve_metrics(metrics, settings.host, metrics_port)
@@ -69,7 +74,7 @@
 
     module, name = _ROLES[role]
     program = getattr(import_module(f".{module}", __package__), name)
-    await program(settings, metrics).run()
+    await program(SettingsWatch(path, settings), metrics).run()
 
 
 if __name__ == "__main__":
--- a/pistachioglade/serving/_engine_program.py
+++ b/pistachioglade/serving/_engine_program.py
@@ -31,6 +31,7 @@
 )
 from ..store import StoreClient
 from ._secret import SHARED_SECRET
+from ._settings_watch import SettingsWatch
 
 #: Fencing token of this holder: there is never another one.
 _FENCE: Final = 1
@@ -52,7 +53,10 @@
 class EngineProgram:
     """Keeps one engine's weights at the versions that the trainers have named."""
 
-    def __init__(self, settings: ProcessSettings, metrics: Metrics) -> None:
+    def __init__(self, watch: SettingsWatch, metrics: Metrics) -> None:
+        settings = watch.settings
+        self._watch = watch
+        watch.on_change.append(self._follow_settings)
         assert settings.engine is not None
         self._settings = settings
         self._log = logger(__name__)
@@ -103,10 +107,11 @@
         loop = asyncio.get_running_loop()
         is_leaving = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, is_leaving.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self._watch.signal)
         tasks = [
             loop.create_task(self._read_versions()),
             loop.create_task(self._follow()),
+            loop.create_task(self._watch.run()),
         ]
         address = f"{self._settings.host}:{self._settings.internal_port}"
         await self._links.start(address)
@@ -116,8 +121,9 @@
             task.cancel()
         self._log.info("stopped", program="engine")
 
-    def _reload(self) -> None:
-        self._log.info("reload", program="engine")
+    def _follow_settings(self, settings: ProcessSettings) -> None:
+        self._settings = settings
+        self._store.move_to(settings.store.host, settings.store.port)
 
     async def _follow(self) -> None:
         while True:
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -23,6 +23,7 @@
 from ._job_calls import JobCalls
 from ._peers import ENTRY_KIND, Peers
 from ._secret import SHARED_SECRET
+from ._settings_watch import SettingsWatch
 from ._versions import VersionHerald
 
 #: Time in which changes of the configuration are gathered; they have 2 s and more to
@@ -49,7 +50,10 @@
 class EntryProgram:
     """One entry."""
 
-    def __init__(self, settings: ProcessSettings, metrics: Metrics) -> None:
+    def __init__(self, watch: SettingsWatch, metrics: Metrics) -> None:
+        settings = watch.settings
+        self._watch = watch
+        watch.on_change.append(self._follow_settings)
         self._settings = settings
         self._log = logger(__name__)
         self._store = StoreClient(
@@ -194,7 +198,7 @@
         settings = self._settings
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._is_leaving.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self._watch.signal)
         assert settings.callers is not None and settings.readiness is not None
         await self._readiness.start(settings.readiness.host, settings.readiness.port)
         await self._callers.start(settings.callers.host, settings.callers.port)
@@ -210,6 +214,7 @@
         self._spawn(self._cleaner.run())
         self._spawn(self._owner.look_around())
         self._spawn(self._keep_house())
+        self._spawn(self._watch.run())
         self._log.info("started", program="entry", listens=str(settings.callers))
         await self._is_leaving.wait()
         await self._leave()
@@ -219,8 +224,13 @@
         await self._jobs.is_synced.wait()
         self._owner.enable()
 
-    def _reload(self) -> None:
-        self._log.info("reload", program="entry")
+    def _follow_settings(self, settings: ProcessSettings) -> None:
+        """Take over what a running entry can; its callers notice nothing."""
+        self._settings = settings
+        self._store.move_to(settings.store.host, settings.store.port)
+        self._store.max_object_bytes = settings.max_object_bytes
+        self._cleaner.retention_s = settings.result_retention_s
+        self._peers.set_capacity(capacity_of(settings.cpu_share, settings.link_mbps))
 
     async def _keep_house(self) -> None:
         while True:
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -104,6 +104,10 @@
         # Set once the process stops.
         self.is_leaving = False
 
+    def set_capacity(self, capacity: float) -> None:
+        """Tell what this entry can bear; its listing follows."""
+        self._mine = {**self._mine, "capacity": capacity}
+
     def _now_s(self) -> float:
         return asyncio.get_running_loop().time()
 
@@ -112,8 +116,8 @@
     async def enrol(self) -> None:
         """List this entry, again whenever another has struck it off."""
         await self.members.is_synced.wait()
-        mine = self._mine
         while not self.is_leaving:
+            mine = self._mine
             known = self.members.entries.get(self._node)
             if known is None:
                 stored = await self._store.create(ENTRY_KIND, self._node, mine, 2.0)
--- a/pistachioglade/serving/_storage_program.py
+++ b/pistachioglade/serving/_storage_program.py
@@ -20,6 +20,7 @@
     names,
 )
 from ..store import Mirror, StoreClient
+from ._settings_watch import SettingsWatch
 
 #: Time for which a process leaves a request to the machine that is asked; by then it
 #: is down, cut off or runs nothing of ours.
@@ -34,7 +35,10 @@
 class StorageProgram:
     """Answers the requests of any machine, its own at once."""
 
-    def __init__(self, settings: ProcessSettings, metrics: Metrics) -> None:
+    def __init__(self, watch: SettingsWatch, metrics: Metrics) -> None:
+        settings = watch.settings
+        self._watch = watch
+        watch.on_change.append(self._follow_settings)
         self._settings = settings
         self._log = logger(__name__)
         self._store = StoreClient(settings.store.host, settings.store.port, metrics)
@@ -72,12 +76,17 @@
         loop = asyncio.get_running_loop()
         is_leaving = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, is_leaving.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
-        task = loop.create_task(self._requests.run())
+        loop.add_signal_handler(signal.SIGHUP, self._watch.signal)
+        tasks = (
+            loop.create_task(self._requests.run()),
+            loop.create_task(self._watch.run()),
+        )
         self._log.info("started", program="storage")
         await is_leaving.wait()
-        task.cancel()
+        for task in tasks:
+            task.cancel()
         self._log.info("stopped", program="storage")
 
-    def _reload(self) -> None:
-        self._log.info("reload", program="storage")
+    def _follow_settings(self, settings: ProcessSettings) -> None:
+        self._settings = settings
+        self._store.move_to(settings.store.host, settings.store.port)
--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -78,6 +78,16 @@
         self._regained = asyncio.Event()
         self._renewals: set[asyncio.Future[None]] = set()
 
+    def move_to(self, host: str, port: int) -> None:
+        """Call the store at another address from now on, watches included."""
+        if (host, port) == (self._pool.host, self._pool.port):
+            return
+        self._pool.close_idle()
+        self._pool = Pool(host, port)
+        self._host_field = (("Host", f"{host}:{port}"),)
+        self._log.info("store-moved", address=f"{host}:{port}")
+        self._renew()
+
     @property
     def is_reached(self) -> bool:
         """Whether the last direct call was answered."""
--- a/tests/test_serving_changes.py
+++ b/tests/test_serving_changes.py
@@ -4,15 +4,29 @@
 
 import asyncio
 import json
+import signal
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any
 
+import pytest
+
+from pistachioglade.http1 import HttpServer, Reply, Request, ServerLimits
 from pistachioglade.jobs import JOB_KIND, Submission, encode_submission
+from pistachioglade.platform import names
 from pistachioglade.standins._fleet_instance import FleetInstance, whole_text
 from pistachioglade.store.tests.served import run
 
-from .serving import JOBS, Fleet, configuration, small_fleet, submission
+from .serving import (
+    JOBS,
+    LOOKUP,
+    EntryProcess,
+    Fleet,
+    configuration,
+    small_fleet,
+    submission,
+)
 
 Case = Callable[[Fleet], Awaitable[None]]
 
@@ -132,3 +146,73 @@
         assert results[0]["output-text"] == whole_text(results[0]["id"], 6)
 
     _play(tmp_path, case)
+
+
+def _rewrite(path: Path, old: str, new: str) -> None:
+    text = path.read_text()
+    assert old in text
+    path.write_text(text.replace(old, new))
+
+
+async def _line(entry: EntryProcess, event: str) -> dict[str, Any]:
+    while not (lines := entry.lines(event)):
+        await asyncio.sleep(0.05)
+    return lines[-1]
+
+
+@pytest.mark.parametrize("with_signal", [True, False])
+def test_settings_are_followed_with_and_without_a_signal(
+    with_signal: bool, tmp_path: Path
+) -> None:
+    async def case(fleet: Fleet) -> None:
+        entry = fleet.entries[0]
+        _rewrite(entry.settings, "grace-period-s=8", "grace-period-s=5")
+        _rewrite(entry.settings, "zone=zone-a", "zone=zone-b")
+        if with_signal:
+            entry.signal(signal.SIGHUP)
+        line = await _line(entry, "settings-changed")
+        assert line["in_force"] == ["grace_s"]
+        assert line["after_restart"] == ["domain"]
+        assert bool(entry.lines("reload")) is with_signal
+        assert (await fleet.call(entry, "GET", f"{LOOKUP}x")).status == 200
+
+    _play(tmp_path, case)
+
+
+def test_settings_with_a_fault_change_nothing(tmp_path: Path) -> None:
+    async def case(fleet: Fleet) -> None:
+        entry = fleet.entries[0]
+        _rewrite(entry.settings, "grace-period-s=8", "grace-period-s=soon")
+        entry.signal(signal.SIGHUP)
+        line = await _line(entry, "settings-refused")
+        assert str(entry.settings) in line["reason"]
+        assert "grace-period-s" in line["reason"]
+        assert (await fleet.call(entry, "GET", f"{LOOKUP}x")).status == 200
+
+    _play(tmp_path, case)
+
+
+def test_a_store_that_moves_is_followed(tmp_path: Path) -> None:
+    async def case(fleet: Fleet) -> None:
+        entry = fleet.entries[0]
+        asked: list[str] = []
+
+        async def handle(request: Request, reply: Reply) -> None:
+            asked.append(request.path)
+            await fleet.store.handle(request, reply)
+
+        server = HttpServer(handle, ServerLimits())
+        await server.start("127.0.0.1", 0)
+        old = f"platform.address=127.0.0.1:{fleet.store.port}"
+        new = f"platform.address=127.0.0.1:{server.port}"
+        _rewrite(entry.settings, old, new)
+        entry.signal(signal.SIGHUP)
+        await _line(entry, "store-moved")
+        fleet.store.port = server.port
+        await fleet.configure(configuration(9))
+        await _in_force(fleet, 9)
+        watched = {names.CONFIGURATION_KIND, names.INSTANCE_KIND, JOB_KIND}
+        assert watched <= {path.rpartition("/")[2] for path in asked}
+        server.stop_listening()
+
+    _play(tmp_path, case)
