The report works on the serving programs' logs

It replaces the command served. Lines of listed batches name their items, tries their tokens, refusals their route.

--- a/pistachioglade/ctl/_program.py
+++ b/pistachioglade/ctl/_program.py
@@ -21,15 +21,17 @@
 
 from ..config import SettingsError, check_document, config_to_parts, read_secret
 from ..errors import ErrorKind
-from ..messages import structure
-from ..report import Report, render_csv, render_html, render_text
-from ._client import AdminClient, AdminError
-from ._story import (
-    read_log_lines,
-    render_service,
-    service_record,
-    story_of,
+from ..messages import structure, unstructure
+from ..report import (
+    Report,
+    records_from_logs,
+    render_csv,
+    render_html,
+    render_text,
+    summarise,
 )
+from ._client import AdminClient, AdminError
+from ._story import read_log_lines, story_of
 from ._trace import read_spans, render_trace, slowest_trace
 
 EXIT_REFUSED: Final = 1
@@ -277,6 +279,12 @@
     default=None,
     help="Form of the report; --output by default.",
 )
+@click.option(
+    "--logs",
+    "paths",
+    multiple=True,
+    help="Log file of a serving program, instead of asking an entry; repeatable.",
+)
 @click.pass_obj
 @_reports_errors
 def _report(
@@ -284,21 +292,38 @@
     since_unix_s: float,
     until_unix_s: float | None,
     form: str | None,
+    paths: tuple[str, ...],
 ) -> None:
     """Report who got what, from which versions, how late, what was refused."""
-    path = f"report?since_unix_s={since_unix_s}"
-    if until_unix_s is not None:
-        path += f"&until_unix_s={until_unix_s}"
-    fields = context.client().call("GET", path)
+    if paths:
+        report = _report_of_logs(paths, since_unix_s, until_unix_s)
+    else:
+        path = f"report?since_unix_s={since_unix_s}"
+        if until_unix_s is not None:
+            path += f"&until_unix_s={until_unix_s}"
+        report = structure(context.client().call("GET", path), Report)
     chosen = form or ("json" if context.as_json else "table")
     if chosen == "json":
-        click.echo(json.dumps(fields, indent=2))
+        click.echo(json.dumps(unstructure(report), indent=2))
         return
-    report = structure(fields, Report)
     renderers = {"table": render_text, "csv": render_csv, "html": render_html}
     click.echo(renderers[chosen](report))
 
 
+def _report_of_logs(
+    paths: tuple[str, ...], since_unix_s: float, until_unix_s: float | None
+) -> Report:
+    """Build the report from what the serving programs have logged."""
+    logged = records_from_logs(read_log_lines(map(Path, paths)))
+    until_s = logged.until_unix_s if until_unix_s is None else until_unix_s
+    steps = [
+        step for step in logged.steps if since_unix_s <= step.opened_unix_s <= until_s
+    ]
+    since_s = max(since_unix_s, logged.since_unix_s)
+    report = summarise({}, steps, logged.usage, since_s, until_s)
+    return attrs.evolve(report, gaps=(*report.gaps, *logged.gaps))
+
+
 @main.command("trace")
 @click.argument("path")
 @click.option("--trace-id", default="", help="Trace to show; the slowest by default.")
@@ -331,14 +356,3 @@
     if not lines:
         raise SettingsError(f"{subject}: no line names it")
     context.show({"subject": subject, "lines": lines}, "\n".join(lines))
-
-
-@main.command("served")
-@_LOG_FILES
-@click.pass_obj
-@_reports_errors
-def _served(context: _Context, paths: tuple[str, ...]) -> None:
-    """Show from log files who got what, from which versions, how late, what not."""
-    record = service_record(read_log_lines(map(Path, paths)))
-    text = "\n".join(render_service(record)) or "nothing was served or refused"
-    context.show(attrs.asdict(record), text)
--- a/pistachioglade/jobs/_result_writer.py
+++ b/pistachioglade/jobs/_result_writer.py
@@ -190,6 +190,7 @@
             job=self._state.id,
             batch=number,
             results=len(in_force.results),
+            items=in_force.item_ids,
             oldest_age_s=round(age_s, 3),
         )
         if not is_own:
--- a/pistachioglade/jobs/_sample_scheduler.py
+++ b/pistachioglade/jobs/_sample_scheduler.py
@@ -128,14 +128,16 @@
         expected = sample.item.expected_tokens
         if expected is None:
             return None
-        upstream = self._view.configuration and self._view.configuration.upstreams.get(
-            run.route.shares[0].upstream
-        )
-        per_event = upstream.event_tokens if upstream else 1
         # The estimate is right at the median only: what is past it may go on.
-        left = expected // per_event - len(sample.text.parts)
+        left = expected // self._event_tokens(run) - len(sample.text.parts)
         return left if left > 0 else None
 
+    def _event_tokens(self, run: JobRun) -> int:
+        """Return the tokens in one event of a job's upstream."""
+        configuration = self._view.configuration
+        upstream = configuration and configuration.upstreams.get(run.upstream)
+        return upstream.event_tokens if upstream else 1
+
     def _give_up_old(self) -> None:
         now_s = asyncio.get_running_loop().time()
         for run in self._runs.values():
@@ -195,6 +197,7 @@
             reason=result.reason,
             resumed_after=resumed_after,
             events=len(sample.text.parts),
+            tokens=len(sample.text.parts) * self._event_tokens(run),
             versions=sorted(sample.text.versions),
             took_s=round(now_s - begun_s, 3),
             until_due_s=round(run.due_s - now_s, 3),
--- a/pistachioglade/load/_capacity.py
+++ b/pistachioglade/load/_capacity.py
@@ -214,9 +214,7 @@
     pack_s, _memory = _timed(lambda: json.dumps(pack_step(record)))
     yield Reading("record_pack_cpu_s", samples, pack_s)
     report_s, _memory = _timed(
-        lambda: summarise(
-            ServiceConfig(), [unpack_step(json.loads(packed))], [], 0.0, 1.0
-        )
+        lambda: summarise({}, [unpack_step(json.loads(packed))], [], 0.0, 1.0)
     )
     yield Reading("report_cpu_s", samples, report_s)
 
--- a/pistachioglade/logs/_logs.py
+++ b/pistachioglade/logs/_logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import sys
 import time
@@ -28,7 +29,9 @@
         descriptor: int,
         clock: Callable[[], float] = time.monotonic,
         lines_per_s: float = LINES_PER_S,
+        node: str = "",
     ) -> None:
+        self._node = node
         self._descriptor = descriptor
         self._clock = clock
         self._lines_per_s = lines_per_s
@@ -44,12 +47,13 @@
 
     def __call__(self, line: str) -> None:
         """Write a line, or count it as dropped."""
-        if not self._take() or not self._write(self._rest):
+        if not self._take() or not self._finish_last():
             self._drop()
             return
         text = line
         if self._untold:
-            text += f'\n{{"event": "lines-dropped", "count": {self._untold}}}'
+            told = {"event": "lines-dropped", "count": self._untold}
+            text += "\n" + json.dumps(told | {"node": self._node})
         if self._write(text.encode() + b"\n"):
             self._untold = 0
         else:
@@ -69,11 +73,14 @@
         self.dropped += 1
         self._untold += 1
 
+    def _finish_last(self) -> bool:
+        """Write what is left of the last line; return whether nothing is."""
+        if self._rest and not self._write(self._rest):
+            return False
+        return not self._rest
+
     def _write(self, data: bytes) -> bool:
         """Return whether the data went out or its rest is kept for the next line."""
-        self._rest = b""
-        if not data:
-            return True
         try:
             written = os.write(self._descriptor, data)
         except BlockingIOError:
@@ -100,7 +107,7 @@
 
 def configure_bounded_logs(node: str, program: str) -> BoundedWriter:
     """As :func:`configure_logs`, on standard output, bounded and never blocking."""
-    writer = BoundedWriter(sys.stdout.fileno())
+    writer = BoundedWriter(sys.stdout.fileno(), node=node)
     configure_lines(node, program, lambda *_: _LineLogger(writer), (_iso_timestamp(),))
     return writer
 
--- a/pistachioglade/report/__init__.py
+++ b/pistachioglade/report/__init__.py
@@ -11,12 +11,15 @@
     summarise,
 )
 from ._files import render_csv, render_html
+from ._from_logs import LoggedRecords, LogLine, records_from_logs
 from ._records import StepRecord, UsageRecord, pack_step, unpack_step
 from ._text import render_text
 
 __all__ = [
     "CallerReport",
     "Gap",
+    "LogLine",
+    "LoggedRecords",
     "Report",
     "StepRecord",
     "StepReport",
@@ -25,6 +28,7 @@
     "build_report",
     "merge_receipts",
     "pack_step",
+    "records_from_logs",
     "render_csv",
     "render_html",
     "render_text",
--- a/pistachioglade/report/_build.py
+++ b/pistachioglade/report/_build.py
@@ -19,6 +19,8 @@
 
 #: Upper edges of the lateness histogram.
 LATENESS_EDGES_S: Final = (1, 2, 5, 10, 20, 60, 300, 1620)
+#: Lowest and highest time of a latency histogram in microseconds, and its digits.
+LATENCY_RANGE_US: Final = (1, 3_600_000_000, 2)
 _MICROS: Final = 1e6
 
 
@@ -48,8 +50,8 @@
 
     # Name of the trainer.
     trainer: str
-    # Share promised of its upstreams, in percent.
-    share_promised_percent: float
+    # Share promised of its upstreams, in percent; None if none is declared.
+    share_promised_percent: float | None
     # Share received of the tokens delivered to all trainers, in percent.
     share_received_percent: float
     # Samples asked for.
@@ -141,17 +143,18 @@
         for record in structure(item.value, tuple[UsageRecord, ...])
         if since_unix_s <= record.until_unix_s and record.since_unix_s <= until_unix_s
     ]
-    return summarise(config, records, spans, since_unix_s, until_unix_s)
+    shares = {item.name: float(item.share_percent) for item in config.trainers}
+    return summarise(shares, records, spans, since_unix_s, until_unix_s)
 
 
 def summarise(
-    config: ServiceConfig,
+    shares_percent: Mapping[str, float],
     records: Sequence[StepRecord],
     spans: Sequence[UsageRecord],
     since_unix_s: float,
     until_unix_s: float,
 ) -> Report:
-    """Add records up."""
+    """Add records up; ``shares_percent`` holds the shares promised to trainers."""
     by_trainer: dict[str, list[StepRecord]] = defaultdict(list)
     for record in records:
         by_trainer[record.trainer].append(record)
@@ -164,7 +167,9 @@
     }
     total = sum(tokens.values())
     trainers = tuple(
-        _trainer_report(config, name, by_trainer[name], by_caller[name], total)
+        _trainer_report(
+            shares_percent.get(name), name, by_trainer[name], by_caller[name], total
+        )
         for name in sorted(by_trainer)
     )
     callers = tuple(
@@ -207,7 +212,7 @@
 
 
 def _trainer_report(
-    config: ServiceConfig,
+    share_percent: float | None,
     name: str,
     records: Sequence[StepRecord],
     spans: Sequence[UsageRecord],
@@ -215,7 +220,6 @@
 ) -> TrainerReport:
     receipts = list(merge_receipts(records).values())
     steps = _step_reports(records)
-    declared = config.trainer(name)
     tokens = sum(map(_token_count, receipts))
     lateness = [receipt.lateness_s for receipt in receipts]
     staleness = Counter(receipt.staleness_versions for receipt in receipts)
@@ -227,7 +231,7 @@
     numbers = {step.step for step in steps}
     return TrainerReport(
         trainer=name,
-        share_promised_percent=float(declared.share_percent) if declared else 0.0,
+        share_promised_percent=share_percent,
         share_received_percent=100.0 * tokens / total_tokens if total_tokens else 0.0,
         asked=sum(step.asked for step in steps),
         delivered=len(receipts),
@@ -284,7 +288,7 @@
 
 
 def _caller_report(name: str, spans: Sequence[UsageRecord]) -> CallerReport:
-    latency = HdrHistogram(1, 3_600_000_000, 2)
+    latency = HdrHistogram(*LATENCY_RANGE_US)
     for span in spans:
         latency.decode_and_add(span.latency_hdr.encode())
     has_answers = latency.get_total_count() > 0
--- a/pistachioglade/report/_text.py
+++ b/pistachioglade/report/_text.py
@@ -28,13 +28,17 @@
     return "-" if value is None else f"{value:.3f}"
 
 
+def _percent(value: float | None) -> str:
+    return "-" if value is None else f"{value:.0f}%"
+
+
 def _trainer_row(trainer: TrainerReport) -> list[str]:
     return [
         trainer.trainer,
         str(trainer.asked),
         str(trainer.delivered),
         str(trainer.tokens),
-        f"{trainer.share_promised_percent:.0f}%",
+        _percent(trainer.share_promised_percent),
         f"{trainer.share_received_percent:.1f}%",
         _seconds(trainer.lateness_mean_s),
         _counts(trainer.staleness_versions),
--- a/pistachioglade/serving/_ingress.py
+++ b/pistachioglade/serving/_ingress.py
@@ -62,6 +62,7 @@
                 "request-refused",
                 request=request_id(request.fields),
                 job=_job_of(request),
+                route=self._route_name(request),
                 path=request.path,
                 kind=answer.kind.value,
                 reason=answer.reason,
@@ -98,6 +99,12 @@
             return await self._streams.forward(call, reply)
         return await self._forwarder.forward(call)
 
+    def _route_name(self, request: Request) -> str | None:
+        configuration = self._view.configuration
+        host = request.field("host") or ""
+        route = configuration and find_route(configuration, host, request.path)
+        return route.name if route else None
+
     async def _job_call(self, request: Request) -> Response | Refusal:
         _, _, rest = request.path.partition(names.JOB_PATH)
         query = {name: values[0] for name, values in parse_qs(request.query).items()}
