--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -13,8 +13,8 @@
     try_time_s,
 )
 from ._checkpoints import (
-    CHECKPOINT_INTERVAL_S,
     LEAST_SAVED_EVENTS,
+    save_interval_s,
     should_save,
 )
 from ._choice import CallChooser, Candidate, ChooserSettings
@@ -54,7 +54,6 @@
 
 __all__ = [
     "BUCKET_COUNT",
-    "CHECKPOINT_INTERVAL_S",
     "LEAST_SAVED_EVENTS",
     "MAX_LAG",
     "PROBE_INTERVAL_S",
@@ -103,6 +102,7 @@
     "neighbour_of",
     "refusal_wait_s",
     "rendezvous_order",
+    "save_interval_s",
     "should_load",
     "should_move",
     "should_save",
--- a/pistachioglade/jobs/_job_run.py
+++ b/pistachioglade/jobs/_job_run.py
@@ -41,6 +41,11 @@
     # Whether it waits for an engine.
     is_waiting: bool = True
 
+    def result(self, score: str) -> Result:
+        """Return the result of its whole text."""
+        versions = tuple(sorted(self.text.versions))
+        return Result(self.item.id, True, self.text.whole, versions, score)
+
 
 class JobRun:
     """Works on one job until it is done, ended or taken over."""
@@ -79,6 +84,8 @@
         self._log = logger(__name__)
         # Groups that were left over from an earlier job.
         self._carried: set[str] = set()
+        # Whole texts that wait for their write.
+        self._unlisted: dict[str, TextRecord] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._groups = {group: place for place, group in enumerate(_groups_of(job))}
         # Samples that have no result, by item.
@@ -149,8 +156,11 @@
 
     def finish(self, sample: Sample, result: Result) -> None:
         """Queue an item's result for its write."""
-        if self.samples.pop(sample.item.id, None) is not None:
-            self._results.add(result, sample.item.group)
+        if self.samples.pop(sample.item.id, None) is None:
+            return
+        if result.is_completed:
+            self._unlisted[sample.item.id] = _record_of(sample, result.score)
+        self._results.add(result, sample.item.group)
 
     def give_up(self, sample: Sample, reason: str) -> None:
         """End an item without its text."""
@@ -177,20 +187,18 @@
         return False
 
     def texts(self) -> SampleTexts:
-        """Return what has been made of the samples that have no result."""
-        return SampleTexts(
-            tuple(
-                TextRecord(
-                    sample.item.id,
-                    tuple(sample.text.parts),
-                    sample.text.last_event,
-                    tuple(sorted(sample.text.versions)),
-                    sample.failures,
-                )
-                for sample in self.samples.values()
-                if sample.text.last_event is not None
-            )
+        """Return what has been made of the samples that aren't listed."""
+        running = (
+            _record_of(sample, None)
+            for sample in self.samples.values()
+            if sample.text.last_event is not None
         )
+        unlisted = (
+            record
+            for record in self._unlisted.values()
+            if record.item_id not in self.state.done
+        )
+        return SampleTexts((*running, *unlisted))
 
     def take_texts(self, made: SampleTexts) -> None:
         """Go on from the texts of an earlier owner where nothing has begun."""
@@ -203,6 +211,8 @@
             sample.text.last_event = record.last_event
             sample.text.versions = set(record.versions)
             sample.failures = record.failures
+            if record.score is not None:
+                self.finish(sample, sample.result(record.score))
 
     def take_left_over(self, left_over: LeftOverTexts) -> None:
         """Go on from texts of an ended job, and start their groups first."""
@@ -224,6 +234,8 @@
             running = self.samples.pop(item_id).running
             if running is not None:
                 running.move()
+        for item_id in [item_id for item_id in self._unlisted if item_id in listed]:
+            del self._unlisted[item_id]
         self._results.drop_listed()
 
     async def seal(self) -> None:
@@ -231,5 +243,18 @@
         await self._results.seal()
 
 
+def _record_of(sample: Sample, score: str | None) -> TextRecord:
+    last_event = sample.text.last_event
+    assert last_event is not None
+    return TextRecord(
+        sample.item.id,
+        tuple(sample.text.parts),
+        last_event,
+        tuple(sorted(sample.text.versions)),
+        sample.failures,
+        score,
+    )
+
+
 def _groups_of(job: Job) -> list[str]:
     return list(dict.fromkeys(item.group for item in job.items))
--- a/pistachioglade/jobs/_left_over.py
+++ b/pistachioglade/jobs/_left_over.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from typing import Final
 
+import attrs
+
 from ..messages import SampleTexts, TextRecord
 
 #: Texts that are kept, the newest; a trainer carries half of a step's groups at most,
@@ -20,8 +22,9 @@
         self._texts: dict[str, TextRecord] = {}
 
     def keep(self, made: SampleTexts) -> None:
-        """Keep the texts of an ended job."""
-        self._texts |= {record.item_id: record for record in made.texts}
+        """Keep the texts of an ended job; each is scored anew where it comes again."""
+        unscored = (attrs.evolve(record, score=None) for record in made.texts)
+        self._texts |= {record.item_id: record for record in unscored}
         while len(self._texts) > self._kept:
             del self._texts[next(iter(self._texts))]
 
--- a/pistachioglade/jobs/_sample_scheduler.py
+++ b/pistachioglade/jobs/_sample_scheduler.py
@@ -8,7 +8,7 @@
 
 from ..decisions import choose_for_sample, should_move, start_order
 from ..errors import ErrorKind, Refusal, refuse
-from ..fleet import Instance, Result, RewardCall, choose_upstream, find_route
+from ..fleet import Instance, RewardCall, choose_upstream, find_route
 from ..forwarding import FleetView, Forwarder
 from ..http1 import Request, Response
 from ..logs import logger
@@ -210,11 +210,7 @@
             if scored is None:
                 return
             score = scored
-        versions = tuple(sorted(sample.text.versions))
-        run.finish(
-            sample,
-            Result(sample.item.id, True, sample.text.whole, versions, score),
-        )
+        run.finish(sample, sample.result(score))
 
     async def _score(self, run: JobRun, sample: Sample) -> str | None:
         """Return the score; None if the item was given up."""
--- a/pistachioglade/jobs/tests/test_takeover.py
+++ b/pistachioglade/jobs/tests/test_takeover.py
@@ -4,11 +4,13 @@
 
 import json
 
+from ...errors import Refusal
 from ...forwarding import FleetView, Forwarder
 from ...links import Identity, LinkPool
-from ...messages import BatchRecord
+from ...messages import BatchRecord, SampleTexts, TextRecord
 from ...metrics import Metrics
-from ...platform import Entry, names
+from ...platform import Entry, decode_configuration, names
+from ...store import StoreClient
 from ...store.tests.served import eventually, run, served_store
 from .. import (
     RESULT_KIND,
@@ -19,6 +21,8 @@
     encode_batch,
     encode_submission,
 )
+from .._job_run import JobRun
+from .._left_over import LeftOverTexts
 
 _ROUTE = {
     "name": "jobs",
@@ -74,3 +78,60 @@
             owner.runs["job"].stop()
 
     run(work)
+
+
+def test_a_whole_text_that_was_not_listed_is_listed_by_the_new_owner() -> None:
+    """Jalrekha trouble-3: made whole while the store was away, and made again."""
+
+    async def work() -> None:
+        async with served_store() as store:
+            client = store.client()
+            ledger = JobLedger()
+            first = _run_of(ledger, client, "old")
+            sample = first.samples["i0"]
+            sample.text.parts, sample.text.last_event = ["a", "b"], 1
+            sample.text.versions = {3}
+            first.finish(sample, sample.result("score"))
+            made = first.texts()
+            second = _run_of(ledger, client, "new")
+            second.take_texts(made)
+            assert set(second.samples) == {"i1"}
+            second.start()
+            state = ledger.jobs["job"]
+            await eventually(lambda: bool(state.results))
+            listed = json.loads(state.results[0])
+            assert (listed["id"], listed["output-text"]) == ("i0", "a\nb")
+            assert (listed["weight-versions"], listed["score"]) == ([3], "score")
+            assert second.texts().texts == ()
+            second.stop()
+
+    run(work)
+
+
+def test_texts_of_an_ended_job_are_scored_anew() -> None:
+    left_over = LeftOverTexts()
+    record = TextRecord("i0", ("a",), 0, (3,), 0, "score")
+    left_over.keep(SampleTexts((record,)))
+    assert left_over.take(["i0"]).texts[0].score is None
+
+
+def _run_of(ledger: JobLedger, client: StoreClient, writer: str) -> JobRun:
+    fields = {"items": [{"id": f"i{number}", "path": "/"} for number in (0, 1)]}
+    submission = Submission("old@h:2", "b", "h", "/", 0.0, fields)
+    ledger.take(Entry("job", 1, encode_submission(submission), None), False)
+    configuration = decode_configuration({"version": 1, "routes": [_ROUTE]})
+    assert not isinstance(configuration, Refusal)
+    state = ledger.jobs["job"]
+    assert not isinstance(state.job, Refusal)
+    return JobRun(
+        state,
+        state.job,
+        configuration.routes[0],
+        ledger,
+        client,
+        writer,
+        0.0,
+        1e9,
+        lambda _run: None,
+        Metrics(),
+    )
--- a/pistachioglade/messages/_entries.py
+++ b/pistachioglade/messages/_entries.py
@@ -104,6 +104,8 @@
     versions: tuple[int, ...]
     # Failed answers that the item got.
     failures: int
+    # Its score if the text is whole and only has to be listed; None if it isn't.
+    score: str | None = None
 
 
 @attrs.frozen
