An owner whose machine refuses connections is replaced after half a second

Before: three missed probes, 1.5 to 1.9 s after any death. A machine that answers with a refused connection has no process listening; three in a row at 0.12 s show that it is no gap between two processes. A listing that was struck off is not struck again until the list shows it; a loss is logged once.

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -48,6 +48,7 @@
     is_lost,
     is_storeless,
     neighbour_of,
+    probe_interval_s,
 )
 from ._transfer import fetch_sources, wave_delay_s
 from ._weight_turns import MAX_LAG, should_load
@@ -100,6 +101,7 @@
     "may_retry",
     "may_try_again",
     "neighbour_of",
+    "probe_interval_s",
     "refusal_wait_s",
     "rendezvous_order",
     "save_interval_s",
--- a/pistachioglade/decisions/_checkpoints.py
+++ b/pistachioglade/decisions/_checkpoints.py
@@ -21,9 +21,9 @@
 #: Events that have to be new since the last save, over all samples of a job; fewer are
 #: made again in the time of a save.
 _LEAST_NEW_EVENTS: Final = 6
-#: Events that a sample must have to be saved: a shorter text is made again in a third
-#: of a second.
-LEAST_SAVED_EVENTS: Final = 8
+#: Events that a sample must have to be saved: a shorter text is made again within a
+#: second, long before the step's longest sample has gone on to its end.
+LEAST_SAVED_EVENTS: Final = 24
 
 
 def save_interval_s(last_bytes: int) -> float:
--- a/pistachioglade/decisions/_takeover.py
+++ b/pistachioglade/decisions/_takeover.py
@@ -20,6 +20,12 @@
 #: Silence after which the neighbour's jobs are taken over: three missed probes. A
 #: process that starts again is back after about a second and keeps its jobs.
 _LOST_AFTER_S: Final = 1.5
+#: Time between two probes of a neighbour whose process seems to have ended.
+_DOUBT_INTERVAL_S: Final = 0.12
+#: Connections refused in a row after which a neighbour's process has ended: its machine
+#: answers and nobody listens. One alone may fall between two processes; a process that
+#: starts again needs half a second and more, and has to read all its jobs anew.
+_LOST_AFTER_REFUSED: Final = 3
 #: Time without the store after which an entry can't list results in time.
 _STORELESS_AFTER_S: Final = 1.2
 
@@ -34,6 +40,8 @@
     store_age_s: float | None
     # How long this entry has been without the store.
     own_store_age_s: float
+    # Connections that its machine has refused since it last answered.
+    refused: int = 0
 
 
 def neighbour_of(name: str, members: Iterable[str]) -> str | None:
@@ -50,9 +58,16 @@
     return (behind or others)[0] if others else None
 
 
+def probe_interval_s(refused: int) -> float:
+    """Return the time to the next probe after so many refused connections."""
+    is_in_doubt = 0 < refused < _LOST_AFTER_REFUSED
+    return _DOUBT_INTERVAL_S if is_in_doubt else PROBE_INTERVAL_S
+
+
 def is_lost(view: NeighbourView, now_s: float) -> bool:
-    """Whether the neighbour has fallen silent."""
-    return now_s - view.heard_s > _LOST_AFTER_S
+    """Whether the neighbour has fallen silent, or its process has ended."""
+    is_silent = now_s - view.heard_s > _LOST_AFTER_S
+    return is_silent or view.refused >= _LOST_AFTER_REFUSED
 
 
 def is_storeless(view: NeighbourView) -> bool:
--- a/pistachioglade/decisions/tests/test_serving_tables.py
+++ b/pistachioglade/decisions/tests/test_serving_tables.py
@@ -5,6 +5,7 @@
 import pytest
 
 from .. import (
+    PROBE_INTERVAL_S,
     CallPolicy,
     NeighbourView,
     PendingSample,
@@ -18,6 +19,7 @@
     may_forget,
     may_try_again,
     neighbour_of,
+    probe_interval_s,
     save_interval_s,
     should_load,
     should_save,
@@ -137,28 +139,36 @@
 
 
 @pytest.mark.parametrize(
-    ("silent_s", "store_age_s", "own_age_s", "lost", "storeless"),
+    ("silent_s", "store_age_s", "own_age_s", "refused", "lost", "storeless"),
     [
-        (0.4, 0.1, 0.1, False, False),
-        (1.0, 0.1, 0.1, False, False),
-        (2.0, 0.1, 0.1, True, False),
-        (0.4, 2.0, 0.1, False, True),
-        (0.4, 2.0, 2.0, False, False),
-        (0.4, None, 0.1, False, False),
+        (0.4, 0.1, 0.1, 0, False, False),
+        (1.0, 0.1, 0.1, 0, False, False),
+        (2.0, 0.1, 0.1, 0, True, False),
+        (0.4, 2.0, 0.1, 0, False, True),
+        (0.4, 2.0, 2.0, 0, False, False),
+        (0.4, None, 0.1, 0, False, False),
+        (0.3, 0.1, 0.1, 1, False, False),
+        (0.6, 0.1, 0.1, 3, True, False),
     ],
 )
 def test_takeover(
     silent_s: float,
     store_age_s: float | None,
     own_age_s: float,
+    refused: int,
     lost: bool,
     storeless: bool,
 ) -> None:
-    view = NeighbourView(10.0 - silent_s, store_age_s, own_age_s)
+    view = NeighbourView(10.0 - silent_s, store_age_s, own_age_s, refused)
     assert is_lost(view, 10.0) is lost
     assert is_storeless(view) is storeless
 
 
+def test_a_neighbour_that_refuses_is_asked_again_soon_until_it_is_lost() -> None:
+    asked = [probe_interval_s(refused) for refused in range(4)]
+    assert asked == [PROBE_INTERVAL_S, 0.12, 0.12, PROBE_INTERVAL_S]
+
+
 def test_homes_move_only_with_their_entry() -> None:
     entries = {f"entry-{number}": 0.8 for number in range(6)}
     keys = [home_key("lm", f"model-{number}", 200) for number in range(40)]
--- a/pistachioglade/errors/_kinds.py
+++ b/pistachioglade/errors/_kinds.py
@@ -46,6 +46,7 @@
     DEADLINE_EXCEEDED = "deadline-exceeded"
     CANCELLED = "cancelled"
     LINK_NOT_OPEN = "link-not-open"
+    LINK_REFUSED = "link-refused"
     LINK_LOST = "link-lost"
     INTERNAL = "internal"
 
@@ -95,6 +96,7 @@
         ErrorKind.DEADLINE_EXCEEDED: Answer(504, _UNKNOWN, 1.0),
         ErrorKind.CANCELLED: Answer(499, _UNKNOWN, None),
         ErrorKind.LINK_NOT_OPEN: Answer(503, _NOT_RUN, 1.0),
+        ErrorKind.LINK_REFUSED: Answer(503, _NOT_RUN, 1.0),
         ErrorKind.LINK_LOST: Answer(502, _UNKNOWN, 1.0),
         ErrorKind.INTERNAL: Answer(500, _UNKNOWN, 1.0),
     }
--- a/pistachioglade/links/_client.py
+++ b/pistachioglade/links/_client.py
@@ -134,6 +134,9 @@
                 ping_timeout=PING_TIMEOUT_S,
                 proxy=None,
             )
+        except ConnectionRefusedError as error:
+            # The machine answers, and no process listens there.
+            return refuse(ErrorKind.LINK_REFUSED, f"no link to {address}: {error}")
         except (OSError, TimeoutError, WebSocketException) as error:
             reason = f"no link to {address}: {type(error).__name__}: {error}"
             return refuse(ErrorKind.LINK_NOT_OPEN, reason)
--- a/pistachioglade/serving/_members.py
+++ b/pistachioglade/serving/_members.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from ..decisions import home_key, home_of
+from ..errors import ErrorKind
 from ..forwarding import FleetView
 from ..logs import logger
 from ..platform import Entry
@@ -44,6 +45,8 @@
         self._view = view
         self._log = logger(__name__)
         self._unreached_until_s: dict[str, float] = {}
+        # Revisions of listings that are gone, though the list here may still show them.
+        self._struck: dict[str, int] = {}
         # Entries by node, as the store lists them.
         self.mirror = Mirror(
             store,
@@ -85,8 +88,13 @@
     async def strike_off(self, node: str) -> None:
         """Take an entry off the list, if it hasn't listed itself anew meanwhile."""
         known = self.mirror.entries.get(node)
-        if known is not None:
-            await self._store.delete(ENTRY_KIND, node, known.revision)
+        if known is None or self._struck.get(node) == known.revision:
+            return
+        refusal = await self._store.delete(ENTRY_KIND, node, known.revision)
+        if refusal is None or refusal.kind in (ErrorKind.NOT_FOUND, ErrorKind.CONFLICT):
+            self._struck[node] = known.revision
+        else:
+            self._log.info("entry-not-struck-off", entry=node, reason=refusal.reason)
 
     @property
     def names(self) -> tuple[str, ...]:
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -14,6 +14,7 @@
     is_lost,
     is_storeless,
     neighbour_of,
+    probe_interval_s,
 )
 from ..errors import ErrorKind, Refusal, refuse
 from ..http1 import Response
@@ -79,6 +80,8 @@
         self._log = logger(__name__)
         self._neighbour: str | None = None
         self._heard_s = 0.0
+        self._refused = 0
+        self._is_lost = False
         self._answer: ProbeAnswer | None = None
         self._orphaned_s: dict[str, float] = {}
 
@@ -189,11 +192,12 @@
         """Probe the entry before this one, and take its jobs over if it is lost."""
         await self._members.mirror.is_synced.wait()
         while True:
-            await asyncio.sleep(PROBE_INTERVAL_S)
+            await asyncio.sleep(probe_interval_s(self._refused))
             name = neighbour_of(self._members.node, self._members.names)
             if name != self._neighbour:
                 self._neighbour, self._answer = name, None
                 self._heard_s = self._now_s()
+                self._refused = 0
             if name is not None:
                 await self._probe_neighbour(name)
 
@@ -203,7 +207,10 @@
         if isinstance(answer, ProbeAnswer):
             self._answer = answer
             self._heard_s = self._now_s()
+            self._refused = 0
             self._members.note_reached(name)
+        elif isinstance(answer, Refusal) and answer.kind is ErrorKind.LINK_REFUSED:
+            self._refused += 1
         elif isinstance(answer, Refusal) and not answer.did_not_run:
             # A link that has fallen silent is opened anew at the next probe.
             await self._links.forget(address)
@@ -213,13 +220,17 @@
             self._heard_s,
             self._answer.store_age_s if self._answer else None,
             self._store.age_s or 0.0,
+            self._refused,
         )
-        if is_lost(view, self._now_s()):
+        was_lost, self._is_lost = self._is_lost, is_lost(view, self._now_s())
+        if self._is_lost and not was_lost:
             self._log.warning(
                 "entry-lost",
                 entry=name,
                 silent_s=round(self._now_s() - self._heard_s, 3),
+                connections_refused=self._refused,
             )
+        if self._is_lost:
             await self._inherit(name, is_alive=False)
             await self._members.strike_off(name)
         elif is_storeless(view):
