--- a/pistachioglade/decisions/_instance_choice.py
+++ b/pistachioglade/decisions/_instance_choice.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from statistics import median
+from statistics import median_low
 from typing import Final
 
 import attrs
@@ -127,9 +127,13 @@
 
 
 def usual_pace_s(records: Iterable[InstanceRecord], now_s: float) -> float | None:
-    """Return the median pace of the instances that have one."""
+    """Return the median pace of the instances that have one; of two, the faster's.
+
+    While weights load, a job often has two instances to choose from: their mean would
+    hide that one of them takes two and a half times as long as the other.
+    """
     paces = [pace for item in records if (pace := item.pace_s(now_s)) is not None]
-    return median(paces) if paces else None
+    return median_low(paces) if paces else None
 
 
 def is_slow(record: InstanceRecord, usual_s: float | None, now_s: float) -> bool:
--- a/pistachioglade/entry/_calls.py
+++ b/pistachioglade/entry/_calls.py
@@ -24,6 +24,10 @@
 _log = logger(__name__)
 
 _KEYED_PAUSE_S = 0.1
+#: Refusals of a link behind which the key's holder may still be well.
+_LINK_FAULTS = frozenset(
+    {ErrorKind.LINK_LOST, ErrorKind.LINK_NOT_OPEN, ErrorKind.LINK_REFUSED}
+)
 _MAX_TRIES = 4
 
 
@@ -170,7 +174,7 @@
             result = await self._send(call, key.ticket.agent, deadline_s)
             if isinstance(result, CallAnswer):
                 return result
-            if result.kind not in (ErrorKind.LINK_LOST, ErrorKind.LINK_NOT_OPEN):
+            if result.kind not in _LINK_FAULTS:
                 return result
             if time.monotonic() + _KEYED_PAUSE_S >= deadline_s:
                 return result.as_unknown()
--- a/pistachioglade/entry/_steps.py
+++ b/pistachioglade/entry/_steps.py
@@ -25,6 +25,7 @@
     {
         ErrorKind.LINK_LOST,
         ErrorKind.LINK_NOT_OPEN,
+        ErrorKind.LINK_REFUSED,
         ErrorKind.DEADLINE_EXCEEDED,
         ErrorKind.LEAVING,
         ErrorKind.NO_CONFIG,
