--- a/pistachioglade/decisions/_takeover.py
+++ b/pistachioglade/decisions/_takeover.py
@@ -17,7 +17,7 @@
 PROBE_INTERVAL_S: Final = 0.4
 #: Time for the answer to a probe: a loaded entry answers within some 50 ms.
 PROBE_TIMEOUT_S: Final = 0.5
-#: Time for the answer to a probe of the neighbour: six times the usual for a loaded one.
+#: Time for the answer to a probe of the neighbour: six times what a loaded one takes.
 NEIGHBOUR_TIMEOUT_S: Final = 0.3
 #: Silence after which the neighbour's jobs are taken over: two missed probes. A step's
 #: longest samples fill its time but for half a second, so that each tenth counts.
