A node's texts stand in one object; the list of instances is gathered by its bound

Saves went out for each job, up to eight at once on a home; the list of instances was watched anew every 1.2 s by each of 17 entries where leaving instances serve for 3 s. Now one save holds all jobs of a node, and the list is gathered for 0.6 of the time for which leaving instances serve (1.2 s as before on the small sites, 1.8 s on the grown). Whoever takes a job over reads the texts of the node that ran it.

--- a/pistachioglade/jobs/__init__.py
+++ b/pistachioglade/jobs/__init__.py
@@ -3,10 +3,11 @@
 from ._cleaner import JobCleaner
 from ._ledger import JobLedger, JobState
 from ._owner import JobOwner
-from ._reader import JobReader, address_of
+from ._reader import JobReader, address_of, node_of
 from ._records import (
     JOB_KIND,
     RESULT_KIND,
+    TEXT_KIND,
     RecordKind,
     RecordName,
     Submission,
@@ -19,6 +20,7 @@
 __all__ = [
     "JOB_KIND",
     "RESULT_KIND",
+    "TEXT_KIND",
     "JobCleaner",
     "JobLedger",
     "JobOwner",
@@ -30,6 +32,7 @@
     "address_of",
     "encode_batch",
     "encode_submission",
+    "node_of",
     "parse_name",
     "split_submission",
 ]
--- a/pistachioglade/jobs/_cleaner.py
+++ b/pistachioglade/jobs/_cleaner.py
@@ -56,7 +56,6 @@
         number = 0
         while await self._delete(RESULT_KIND, state.id, RecordKind.BATCH, number):
             number += 1
-        await self._delete(RESULT_KIND, state.id, RecordKind.TEXTS)
         submission = state.submission
         assert submission is not None
         part = 0
--- a/pistachioglade/jobs/_job_run.py
+++ b/pistachioglade/jobs/_job_run.py
@@ -19,7 +19,6 @@
 from ._left_over import LeftOverTexts
 from ._result_writer import ResultWriter
 from ._sample_try import SampleText, SampleTry, TryEnd, TryResult
-from ._text_saver import save_texts
 
 
 @attrs.define(eq=False)
@@ -70,7 +69,6 @@
         self.is_routed = True
         self.due_s = due_s
         self.give_up_s = give_up_s
-        self._store = store
         self._results = ResultWriter(
             state,
             job,
@@ -107,7 +105,6 @@
     def start(self) -> None:
         """Start writing results as they come."""
         self.spawn(self._results.run())
-        self.spawn(save_texts(self._store, self.job.id, self.texts))
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run work that ends with the job."""
--- a/pistachioglade/jobs/_ledger.py
+++ b/pistachioglade/jobs/_ledger.py
@@ -40,6 +40,8 @@
     owner_revision: int = 0
     # Entry that ran it before the owner; empty if there was none.
     earlier_owner: str = ""
+    # Whether that entry lived when the job passed on, so that it can be asked.
+    is_earlier_alive: bool = False
     # Whether the trainer has ended it.
     is_ended: bool = False
     # Results by position, encoded.
@@ -178,6 +180,7 @@
             case RecordKind.OWNER:
                 if entry.revision > state.owner_revision:
                     state.earlier_owner = entry.value["earlier"]
+                    state.is_earlier_alive = entry.value["is_alive"]
                     state.owner = entry.value["owner"]
                     state.owner_revision = entry.revision
             case RecordKind.END:
--- a/pistachioglade/jobs/_owner.py
+++ b/pistachioglade/jobs/_owner.py
@@ -17,8 +17,9 @@
 from ._job_run import JobRun
 from ._ledger import JobLedger, JobState
 from ._left_over import LeftOverTexts
-from ._reader import JobReader
+from ._reader import JobReader, node_of
 from ._sample_scheduler import SampleScheduler
+from ._text_saver import TextSaver, saved_texts
 
 #: Pause before the results of a job that is taken over are read again.
 _CATCH_UP_PAUSE_S: Final = 0.2
@@ -135,11 +136,22 @@
 
     async def _made_before(self, state: JobState) -> SampleTexts:
         """Return the texts that an earlier owner, or process, has made."""
-        if state.earlier_owner:
+        if state.is_earlier_alive:
             told = await self._reader.texts(state.earlier_owner, state.id)
             if told.texts:
                 return told
-        return await self._reader.saved_texts(state.id)
+        node = node_of(state.earlier_owner or state.owner)
+        return await saved_texts(self._store, node, state.id)
+
+    def _all_texts(self) -> dict[str, SampleTexts] | None:
+        """Return the texts of all runs; None while one may still read earlier ones."""
+        if self._beginning or not self._scheduler.is_enabled:
+            return None
+        return {job_id: run.texts() for job_id, run in self.runs.items()}
+
+    async def save_texts(self) -> None:
+        """Save the texts of all runs now and then, for good."""
+        await TextSaver(self._store, node_of(self.name), self._all_texts).run()
 
     def _may_have_results(self, state: JobState) -> bool:
         """Whether results of a job may stand in the store that aren't known here."""
--- a/pistachioglade/jobs/_reader.py
+++ b/pistachioglade/jobs/_reader.py
@@ -13,7 +13,6 @@
     FetchTexts,
     ResultPage,
     SampleTexts,
-    structure,
 )
 from ..platform import Entry
 from ..store import StoreClient
@@ -33,6 +32,11 @@
 _ASK_S: Final = 0.4
 
 
+def node_of(owner: str) -> str:
+    """Return the node in an owner's name."""
+    return owner.partition("@")[0]
+
+
 def address_of(owner: str) -> str:
     """Return the address in an owner's name."""
     return owner.partition("@")[2]
@@ -146,11 +150,3 @@
         return await self._store.read(
             JOB_KIND, str(RecordName(job_id, RecordKind.OWNER))
         )
-
-    async def saved_texts(self, job_id: str) -> SampleTexts:
-        """Return the texts that a job's owner has saved last; nothing if none."""
-        name = str(RecordName(job_id, RecordKind.TEXTS))
-        stored = await self._store.read(RESULT_KIND, name)
-        if isinstance(stored, Refusal):
-            return SampleTexts(())
-        return structure(stored.value, SampleTexts)
--- a/pistachioglade/jobs/_records.py
+++ b/pistachioglade/jobs/_records.py
@@ -14,8 +14,9 @@
 
     JOB.rN           the N-th batch of results
     JOB.pDIGEST.N    the N-th part of a submission that is too large for one object
-    JOB.texts        texts of samples that are not finished; the one object that is
-                     replaced, since losing any state of it costs only time
+
+Texts of samples that are not listed stand in one object for each node, the one thing
+that is replaced, since losing any state of it costs only time.
 """
 
 from __future__ import annotations
@@ -34,6 +35,8 @@
 JOB_KIND: Final = "pistachioglade-jobs"
 #: Kind of batches of results.
 RESULT_KIND: Final = "pistachioglade-results"
+#: Kind of nodes' texts.
+TEXT_KIND: Final = "pistachioglade-texts"
 _BATCH_DIGITS: Final = 6
 _DIGEST_DIGITS: Final = 16
 #: Bytes of an object that its names and frame may take.
@@ -55,7 +58,6 @@
     OWNER = "owner"
     END = "end"
     BATCH = "r"
-    TEXTS = "texts"
 
 
 @attrs.frozen
--- a/pistachioglade/jobs/_text_saver.py
+++ b/pistachioglade/jobs/_text_saver.py
@@ -1,9 +1,14 @@
-"""Saves the texts of unfinished samples to the store, so that a death costs little."""
+"""Saves the texts of unlisted samples to the store, so that a death costs little.
+
+All jobs of a node stand in one object, since each call to the store is paid for. Losing
+any state of it costs only time.
+"""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import Any, Final
 
 from ..decisions import (
     LEAST_SAVED_EVENTS,
@@ -11,11 +16,15 @@
     save_interval_s,
     should_save,
 )
+from ..errors import Refusal
 from ..logs import logger
-from ..messages import SampleTexts, TextRecord, unstructure
+from ..messages import SampleTexts, TextRecord, structure, unstructure
 from ..platform import Entry
 from ..store import StoreClient
-from ._records import RESULT_KIND, RecordKind, RecordName, stored_bytes
+from ._records import TEXT_KIND, stored_bytes
+
+#: Time within which the first save of a node is settled.
+_CREATE_WITHIN_S: Final = 1.0
 
 
 def text_bytes(record: TextRecord) -> int:
@@ -23,39 +32,75 @@
     return sum(map(stored_bytes, record.parts))
 
 
-def worth_saving(made: SampleTexts, max_bytes: int) -> tuple[TextRecord, ...]:
-    """Return the longest texts that one object holds; short ones are made again."""
-    longest = sorted(
-        (item for item in made.texts if len(item.parts) >= LEAST_SAVED_EVENTS),
-        key=lambda item: -len(item.parts),
-    )
-    return tuple(longest[: fitting_count(map(text_bytes, longest), max_bytes)])
-
-
-async def save_texts(
-    store: StoreClient, job_id: str, texts: Callable[[], SampleTexts]
-) -> None:
-    """Save a job's texts now and then, for good."""
-    log = logger(__name__)
-    name = str(RecordName(job_id, RecordKind.TEXTS))
-    is_created = False
-    saved_events = 0
-    saved_bytes = 0
-    while True:
-        await asyncio.sleep(save_interval_s(saved_bytes))
-        made = worth_saving(texts(), store.max_object_bytes)
-        events = sum(len(item.parts) for item in made)
-        if not should_save(abs(events - saved_events)):
-            continue
-        value = unstructure(SampleTexts(made))
-        stored = (
-            await store.replace(RESULT_KIND, name, value, None)
-            if is_created
-            else await store.create(RESULT_KIND, name, value, 1.0)
-        )
-        if isinstance(stored, Entry):
-            is_created = True
-            saved_events = events
-            saved_bytes = sum(map(text_bytes, made))
-        else:
-            log.warning("texts-unsaved", job=job_id, reason=stored.reason)
+def worth_saving(
+    made: Mapping[str, SampleTexts], max_bytes: int
+) -> dict[str, SampleTexts]:
+    """Return each job's longest texts, as many as one object holds."""
+    pairs = [
+        (job_id, record)
+        for job_id, texts in made.items()
+        for record in texts.texts
+        if len(record.parts) >= LEAST_SAVED_EVENTS
+    ]
+    longest = sorted(pairs, key=lambda pair: -len(pair[1].parts))
+    sizes = (text_bytes(record) for _, record in longest)
+    kept = longest[: fitting_count(sizes, max_bytes)]
+    return {
+        job_id: SampleTexts(tuple(item for owner, item in kept if owner == job_id))
+        for job_id in dict.fromkeys(job_id for job_id, _ in kept)
+    }
+
+
+class TextSaver:
+    """Keeps one node's object of texts."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        node: str,
+        texts: Callable[[], Mapping[str, SampleTexts] | None],
+    ) -> None:
+        self._store = store
+        self._node = node
+        # Texts by job; None while jobs that begin may still read the last save.
+        self._texts = texts
+        self._log = logger(__name__)
+        self._is_created = False
+        self._saved_events = 0
+        self._saved_bytes = 0
+
+    async def run(self) -> None:
+        """Save now and then, for good."""
+        while True:
+            await asyncio.sleep(save_interval_s(self._saved_bytes))
+            made = self._texts()
+            if made is not None:
+                await self._save(worth_saving(made, self._store.max_object_bytes))
+
+    async def _save(self, made: Mapping[str, SampleTexts]) -> None:
+        records = [record for texts in made.values() for record in texts.texts]
+        events = sum(len(record.parts) for record in records)
+        if not should_save(abs(events - self._saved_events)):
+            return
+        stored = await self._write({job: unstructure(made[job]) for job in made})
+        if isinstance(stored, Refusal):
+            self._log.warning("texts-unsaved", reason=stored.reason)
+            return
+        self._saved_events = events
+        self._saved_bytes = sum(map(text_bytes, records))
+
+    async def _write(self, value: dict[str, Any]) -> Entry | Refusal:
+        if not self._is_created:
+            made = await self._store.create(TEXT_KIND, self._node, {}, _CREATE_WITHIN_S)
+            if isinstance(made, Refusal):
+                return made
+            self._is_created = True
+        return await self._store.replace(TEXT_KIND, self._node, value, None)
+
+
+async def saved_texts(store: StoreClient, node: str, job_id: str) -> SampleTexts:
+    """Return the texts of a job that a node has saved last; nothing if none."""
+    stored = await store.read(TEXT_KIND, node)
+    if isinstance(stored, Refusal) or job_id not in (stored.value or {}):
+        return SampleTexts(())
+    return structure(stored.value[job_id], SampleTexts)
--- a/pistachioglade/jobs/tests/test_ledger.py
+++ b/pistachioglade/jobs/tests/test_ledger.py
@@ -81,8 +81,8 @@
     async def work() -> None:
         ledger = await _ledger()
         state = ledger.jobs["job"]
-        newer = {"owner": "c@h:3", "earlier": "b@h:2"}
-        older = {"owner": "b@h:2", "earlier": "a@h:1"}
+        newer = {"owner": "c@h:3", "earlier": "b@h:2", "is_alive": True}
+        older = {"owner": "b@h:2", "earlier": "a@h:1", "is_alive": False}
         assert state.owner == "a@h:1"
         ledger.take(Entry("job.owner", 9, newer, None), False)
         ledger.take(Entry("job.owner", 5, older, None), False)
--- a/pistachioglade/jobs/tests/test_takeover.py
+++ b/pistachioglade/jobs/tests/test_takeover.py
@@ -65,7 +65,7 @@
             fields = {"items": [{"id": f"i{number}", "path": "/"} for number in (0, 1)]}
             submission = Submission("old@h:2", "b", "h", "/", 4e9, fields)
             ledger.take(Entry("job", 1, encode_submission(submission), None), False)
-            value = {"owner": "new@h:1", "earlier": ""}
+            value = {"owner": "new@h:1", "earlier": "old@h:2", "is_alive": False}
             ledger.take(Entry("job.owner", 2, value, None), False)
             await eventually(lambda: "job" in owner.runs)
             assert set(owner.runs["job"].samples) == {"i1"}
--- /dev/null
+++ b/pistachioglade/jobs/tests/test_text_saver.py
@@ -0,0 +1,57 @@
+"""Texts that are saved for the node that runs a job next."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ...messages import SampleTexts, TextRecord
+from ...store.tests.served import eventually, run, served_store
+from .._records import TEXT_KIND
+from .._text_saver import TextSaver, saved_texts, worth_saving
+
+
+def _text(item: str, events: int) -> TextRecord:
+    return TextRecord(item, ("x" * 100,) * events, events - 1, (1,), 0)
+
+
+def test_the_longest_texts_of_all_jobs_are_worth_saving() -> None:
+    made = {
+        "a": SampleTexts((_text("a1", 30), _text("a2", 200), _text("a3", 5))),
+        "b": SampleTexts((_text("b1", 120),)),
+        "c": SampleTexts((_text("c1", 2),)),
+    }
+    kept = worth_saving(made, 10**6)
+    assert [item.item_id for item in kept["a"].texts] == ["a2", "a1"]
+    assert [item.item_id for item in kept["b"].texts] == ["b1"]
+    assert "c" not in kept
+    # 200 events of 100 bytes may take 40 kB, 120 of them 24 kB.
+    fewer = worth_saving(made, 70_000)
+    assert {job: len(texts.texts) for job, texts in fewer.items()} == {"a": 1, "b": 1}
+
+
+def test_a_nodes_texts_stand_in_one_object_and_are_read_by_job() -> None:
+    async def work() -> None:
+        async with served_store() as store:
+            client = store.client()
+            made = {"a": SampleTexts((_text("a1", 40),))}
+            may_save = False
+            saver = TextSaver(client, "node", lambda: made if may_save else None)
+            task = asyncio.create_task(saver.run())
+            await asyncio.sleep(0.5)
+            assert (TEXT_KIND, "node") not in store.standin._objects
+            may_save = True
+            key = (TEXT_KIND, "node")
+            await eventually(lambda: bool(_value(store, key)))
+            made["b"] = SampleTexts((_text("b1", 60),))
+            await eventually(lambda: "b" in _value(store, key))
+            assert await saved_texts(client, "node", "a") == made["a"]
+            assert await saved_texts(client, "node", "b") == made["b"]
+            assert (await saved_texts(client, "node", "c")).texts == ()
+            assert (await saved_texts(client, "other", "a")).texts == ()
+            task.cancel()
+
+    def _value(store: object, key: tuple[str, str]) -> dict[str, object]:
+        objects = store.standin._objects  # type: ignore[attr-defined]
+        return objects[key].fields()["specification"] if key in objects else {}
+
+    run(work)
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -30,10 +30,11 @@
 #: Time in which changes of the configuration are gathered; they have 2 s and more to
 #: come into force.
 _CONFIGURATIONS_GATHER_S: Final = 0.3
-#: Time in which changes of the list of instances are gathered: each load of weights
-#: changes it, while an instance that leaves serves for 2 s and more. An entry that runs
-#: jobs wants to know engines that have loaded sooner.
-_INSTANCES_GATHER_S: Final = 1.2
+#: Part of the time for which a leaving instance serves in which changes of the list of
+#: instances are gathered: each load of weights changes it. The rest is left to the
+#: watch, which takes a few tenths on the slowest days.
+_INSTANCES_GATHER_PART: Final = 0.6
+#: The same where jobs run, in seconds: those want to know sooner who has loaded.
 _INSTANCES_GATHER_AT_HOME_S: Final = 0.4
 #: Time in which submissions, owners and ends of jobs are gathered. Owners are told at
 #: once over links; the watch is for what those lose, within the 3 s in which an end has
@@ -174,7 +175,9 @@
 
     def _instances_gather_s(self) -> float:
         is_home = bool(self._owner.runs)
-        return _INSTANCES_GATHER_AT_HOME_S if is_home else _INSTANCES_GATHER_S
+        if is_home:
+            return _INSTANCES_GATHER_AT_HOME_S
+        return _INSTANCES_GATHER_PART * self._settings.drain_s
 
     def _take_limits(self) -> None:
         configuration = self._view.configuration
@@ -214,6 +217,7 @@
         self._spawn(self._peers.sweep())
         self._spawn(self._cleaner.run())
         self._spawn(self._owner.look_around())
+        self._spawn(self._owner.save_texts())
         self._spawn(self._keep_house())
         self._spawn(self._watch.run())
         self._log.info("started", program="entry", listens=str(settings.callers))
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -27,6 +27,7 @@
     RecordKind,
     RecordName,
     address_of,
+    node_of,
 )
 from ..links import LinkPool, Peer
 from ..logs import logger
@@ -57,11 +58,6 @@
 _PLACE_TRIES: Final = 3
 
 
-def node_of(owner: str) -> str:
-    """Return the node in an owner's name."""
-    return owner.partition("@")[0]
-
-
 class Peers:
     """Answers other entries and watches the one before this one."""
 
@@ -291,7 +287,7 @@
         ``can_ask`` tells whether the earlier owner lives and can hand texts over.
         """
         name = str(RecordName(state.id, RecordKind.OWNER))
-        value = {"owner": owner, "earlier": state.owner if can_ask else ""}
+        value = {"owner": owner, "earlier": state.owner, "is_alive": can_ask}
         revision = state.owner_revision
         if revision:
             stored = await self._store.replace(JOB_KIND, name, value, revision)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from pistachioglade.jobs import TEXT_KIND
 from pistachioglade.platform import names
 from pistachioglade.standins._fleet_instance import FleetInstance, whole_text
 from pistachioglade.store.tests.served import run
@@ -309,6 +310,37 @@
     _play(tmp_path, case, entries=2)
 
 
+def _saved_texts(fleet: Fleet, entry: EntryProcess, job_id: str) -> int:
+    saved = fleet.store.standin._objects.get((TEXT_KIND, entry.name))
+    value = saved.fields()["specification"] if saved is not None else {}
+    return len(value[job_id]["texts"]) if job_id in value else 0
+
+
+def test_an_entry_that_starts_again_goes_on_with_its_saved_texts(
+    tmp_path: Path,
+) -> None:
+    async def case(fleet: Fleet) -> None:
+        for engine in _of(fleet, "lm"):
+            engine.events, engine.event_s = 120, 0.03
+        entry = fleet.entries[0]
+        await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(2, 2))
+        while _saved_texts(fleet, entry, "job-1") < 4:
+            await asyncio.sleep(0.05)
+        entry.signal(signal.SIGKILL)
+        await entry.ended()
+        await entry.start()
+        while not await entry.is_ready():
+            await asyncio.sleep(0.05)
+        _check(await fleet.results(entry, "job-1", 4), 120)
+        resumed = [
+            event for engine in _of(fleet, "lm") for event in engine.resumed.values()
+        ]
+        assert len(resumed) == 4
+        assert min(resumed) >= 20
+
+    _play(tmp_path, case)
+
+
 def test_a_stop_answers_what_it_has_read_and_ends(tmp_path: Path) -> None:
     async def case(fleet: Fleet) -> None:
         entry = fleet.entries[0]
