Engines load a version that samples wait for, out of turn

The home sees samples wait while engines idle with older weights, and asks the engines that serve the model for that version, once. On sites whose trainers take the version before, nothing waits so and turns stay.

--- a/pistachioglade/messages/__init__.py
+++ b/pistachioglade/messages/__init__.py
@@ -44,6 +44,7 @@
     StoredRecord,
     TextRecord,
     VersionNamed,
+    VersionNeeded,
 )
 from ._samples import (
     AgentLoad,
@@ -112,6 +113,7 @@
     "TextRecord",
     "Ticket",
     "VersionNamed",
+    "VersionNeeded",
     "VersionSpan",
     "decode_frame",
     "encode_frame",
