--- a/pistachioglade/decisions/_weight_turns.py
+++ b/pistachioglade/decisions/_weight_turns.py
@@ -4,10 +4,7 @@
 stops an engine's new work for a second, empties its cache and is paid for, while
 trainers take samples that are one version old. So each engine skips every other version
 of a model: half of the engines stay in service while the other half loads, and no
-engine is more than one version behind. Trainers that take nothing but the newest would
-have half of the engines then, so that whoever has samples waiting says which version
-they need, and engines that are behind it load at once. With more than two models, an
-engine serves two.
+engine is more than one version behind. With more than two models, an engine serves two.
 """
 
 from __future__ import annotations
@@ -23,25 +20,19 @@
 
 
 def should_load(
-    rank: int,
-    models: Sequence[str],
-    model: str,
-    named: int,
-    loaded: int,
-    needed: int = 0,
+    rank: int, models: Sequence[str], model: str, named: int, loaded: int
 ) -> bool:
     """Return whether an engine loads ``named`` now.
 
     ``rank`` is its place among the engines of its upstream, ``models`` all models
-    there in a fixed order. ``needed`` is the oldest version that waiting samples may
-    be made by, where those that have it are full; 0 if none wait for it.
+    there in a fixed order.
     """
     lag = named - loaded
     if lag <= 0 or model not in models:
         return lag > 0
     if not serves(rank, models, model):
         return False
-    if lag > MAX_LAG or loaded < needed:
+    if lag > MAX_LAG:
         return True
     if len(models) == 1:
         return (rank + named) % 2 == 0
--- a/pistachioglade/decisions/tests/test_serving_tables.py
+++ b/pistachioglade/decisions/tests/test_serving_tables.py
@@ -210,18 +210,6 @@
     assert in_use == [13] * models
 
 
-def test_all_engines_load_a_version_that_samples_wait_for() -> None:
-    """Soak: a trainer that takes only the newest version had half of the engines."""
-    turns = [should_load(rank, ["m"], "m", 5, 4) for rank in range(4)]
-    assert turns == [False, True, False, True]
-    assert all(should_load(rank, ["m"], "m", 5, 4, 5) for rank in range(4))
-    assert not any(should_load(rank, ["m"], "m", 5, 5, 5) for rank in range(4))
-    assert should_load(0, ["m"], "m", 5, 4, 4) is turns[0]
-    # Engines that don't serve a model don't load it for anybody.
-    loads = [should_load(rank, list("abcd"), "a", 5, 4, 5) for rank in range(4)]
-    assert loads == [True, False, False, True]
-
-
 def test_an_engine_that_missed_its_turn_loads_at_the_next_version() -> None:
     assert should_load(0, ["m"], "m", 5, 3)
     assert not should_load(0, ["m"], "m", 5, 5)
--- a/pistachioglade/jobs/_owner.py
+++ b/pistachioglade/jobs/_owner.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from collections.abc import Callable
 from typing import Final
 
 from ..errors import ErrorKind, Refusal
@@ -66,10 +65,6 @@
         self.enabled_s = float("inf")
         ledger.on_change.append(self.reconcile)
 
-    def ask_for_versions(self, on_need: Callable[[str, str, int], None]) -> None:
-        """Say who hears when samples wait for a version that few engines have."""
-        self._scheduler.on_need = on_need
-
     # Which jobs run here.
 
     def reconcile(self, state: JobState) -> None:
--- a/pistachioglade/jobs/_sample_scheduler.py
+++ b/pistachioglade/jobs/_sample_scheduler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Final
 
 from ..decisions import choose_for_sample, should_move, start_order
@@ -40,8 +40,6 @@
         self._metrics = metrics
         self._runs = runs
         self._log = logger(__name__)
-        # Called with upstream, model and version when samples wait for a version.
-        self.on_need: Callable[[str, str, int], None] = lambda *_: None
         # Nothing starts before the jobs are known, nor once the process leaves.
         self.is_enabled = False
         view.on_change.append(self.pump)
@@ -62,33 +60,12 @@
         if not any(item.free_slots(now_s) > 0 for item in self._view.records.values()):
             return
         waiting = [sample for run in self._runs.values() for sample in run.pending()]
-        starved: dict[str, JobRun] = {}
         for pending in start_order(waiting):
             run = self._runs[pending.job_id]
             sample = run.samples[pending.item_id]
             instance = self._place(run, sample)
             if instance is not None:
                 self._start(run, sample, instance)
-            elif run.is_routed:
-                starved[run.job.model] = run
-        for run in starved.values():
-            self._ask_for_version(run)
-
-    def _ask_for_version(self, run: JobRun) -> None:
-        """Ask for weights if engines are idle only because theirs are too old."""
-        now_s = asyncio.get_running_loop().time()
-        model, least = run.job.model, run.job.min_version
-        records = (
-            self._view.records[item.id]
-            for item in self._view.open_instances(run.upstream)
-        )
-        if any(
-            record.versions.get(model, least) < least
-            and record.free_slots(now_s) > 0
-            and not record.is_resting(now_s)
-            for record in records
-        ):
-            self.on_need(run.upstream, model, least)
 
     def _start(self, run: JobRun, sample: Sample, instance: Instance) -> None:
         """Start a sample; it counts at its engine before its task has run."""
--- a/pistachioglade/jobs/tests/test_scheduler.py
+++ b/pistachioglade/jobs/tests/test_scheduler.py
@@ -5,8 +5,6 @@
 import asyncio
 from typing import Any
 
-import pytest
-
 from ...errors import Refusal
 from ...fleet import Route, RouteKind, Share
 from ...forwarding import FleetView, Forwarder
@@ -35,16 +33,15 @@
 )
 
 
-def _entry(name: str, version: int = 1) -> Entry:
-    models = [{"name": "m", "version": version}]
+def _entry(name: str) -> Entry:
+    models = [{"name": "m", "version": 1}]
     fields = {"service": "lm", "address": "127.0.0.1:9", "slots": 2, "models": models}
     return Entry(name, 1, fields, None)
 
 
-def _run_of(ledger: JobLedger, items: int, min_version: int = 0) -> JobRun:
+def _run_of(ledger: JobLedger, items: int) -> JobRun:
     fields: dict[str, Any] = {
         "model": "m",
-        "min-version": min_version,
         "items": [{"id": f"i{number}", "path": "/"} for number in range(items)],
     }
     submission = Submission("a@h:1", "b", "h", "/", 0.0, fields)
@@ -106,32 +103,3 @@
         runs["job"].stop()
 
     run(work)
-
-
-@pytest.mark.parametrize(
-    ("versions", "expected"),
-    [
-        # Idle engines have older weights than the job allows.
-        ((2, 1, 1), [("lm", "m", 2)]),
-        # All that are idle could take the samples; they are too many.
-        ((2, 2, 2), []),
-    ],
-)
-def test_weights_are_asked_for_while_engines_idle_with_older_ones(
-    versions: tuple[int, ...], expected: list[tuple[str, str, int]]
-) -> None:
-    async def work() -> list[tuple[str, str, int]]:
-        view = FleetView(lambda: None)
-        runs: dict[str, JobRun] = {}
-        scheduler = SampleScheduler(view, Forwarder(view, "a"), Metrics(), runs)
-        asked: list[tuple[str, str, int]] = []
-        scheduler.on_need = lambda *need: asked.append(need)
-        runs["job"] = _run_of(JobLedger(), 9, min_version=2)
-        for number, version in enumerate(versions):
-            view.take_instance(_entry(f"engine-{number}", version), False)
-        scheduler.is_enabled = True
-        scheduler.pump()
-        runs["job"].stop()
-        return asked
-
-    assert run(work) == expected
--- a/pistachioglade/messages/__init__.py
+++ b/pistachioglade/messages/__init__.py
@@ -44,7 +44,6 @@
     StoredRecord,
     TextRecord,
     VersionNamed,
-    VersionNeeded,
 )
 from ._samples import (
     AgentLoad,
@@ -113,7 +112,6 @@
     "TextRecord",
     "Ticket",
     "VersionNamed",
-    "VersionNeeded",
     "VersionSpan",
     "decode_frame",
     "encode_frame",
--- a/pistachioglade/messages/_entries.py
+++ b/pistachioglade/messages/_entries.py
@@ -34,16 +34,6 @@
     version: int
 
 
-@attrs.frozen
-class VersionNeeded:
-    """Tell the process beside an engine that samples wait for a version."""
-
-    # Model.
-    model: str
-    # Oldest version that may make them.
-    version: int
-
-
 @attrs.frozen
 class StoredRecord:
     """Tell the node that runs a job of an object that the store has taken."""
--- a/pistachioglade/serving/_engine_program.py
+++ b/pistachioglade/serving/_engine_program.py
@@ -16,7 +16,7 @@
 from ..http1 import Pool, Response
 from ..links import Identity, LinkServer, Peer
 from ..logs import logger
-from ..messages import Acknowledged, VersionNamed, VersionNeeded
+from ..messages import Acknowledged, VersionNamed
 from ..metrics import Metrics
 from ..platform import (
     Address,
@@ -65,10 +65,7 @@
         self._store = StoreClient(settings.store.host, settings.store.port, metrics)
         identity = Identity(settings.node, SHARED_SECRET)
         self._links = LinkServer(identity, self._answer)
-        # Newest version of each model that its trainer has named.
         self._wanted: dict[str, int] = {}
-        # Oldest version of each model that waiting samples may be made by.
-        self._needed: dict[str, int] = {}
         self._last_rank = 0
         self._has_news = asyncio.Event()
 
@@ -94,24 +91,11 @@
 
     async def _answer(self, message: Any, peer: Peer) -> Any:
         """Answer an entry that tells of a version."""
-        match message:
-            case VersionNamed(model, version):
-                self._take_version(model, version, source=peer.node)
-            case VersionNeeded(model, version):
-                self._take_need(model, version, source=peer.node)
-            case _:
-                reason = f"not for engines: {message!r:.80}"
-                return refuse(ErrorKind.BAD_REQUEST, reason)
+        if not isinstance(message, VersionNamed):
+            return refuse(ErrorKind.BAD_REQUEST, f"not for engines: {message!r:.80}")
+        self._take_version(message.model, message.version, source=peer.node)
         return Acknowledged()
 
-    def _take_need(self, model: str, version: int, source: str) -> None:
-        if version > self._needed.get(model, 0):
-            self._needed[model] = version
-            self._log.info(
-                "version-needed", model=model, version=version, source=source
-            )
-            self._has_news.set()
-
     def _take_version(self, model: str, version: int, source: str) -> None:
         if version > self._wanted.get(model, 0):
             self._wanted[model] = version
@@ -168,14 +152,7 @@
             (model, version)
             for model, version in self._wanted.items()
             if model in state.versions
-            and should_load(
-                rank,
-                models,
-                model,
-                version,
-                state.versions[model],
-                self._needed.get(model, 0),
-            )
+            and should_load(rank, models, model, version, state.versions[model])
         ]
         if due and not state.is_busy:
             await self._order(state, *due[0])
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -112,7 +112,6 @@
         self._versions = VersionHerald(
             self._store, self._view, self._members, links, settings.internal_port
         )
-        self._owner.ask_for_versions(self._versions.need)
         self._link_server = LinkServer(identity, self._peers.answer)
         calls = JobCalls(
             self._owner,
--- a/pistachioglade/serving/_versions.py
+++ b/pistachioglade/serving/_versions.py
@@ -13,7 +13,7 @@
 from ..forwarding import FleetView
 from ..links import LinkPool
 from ..logs import logger
-from ..messages import VersionNamed, VersionNeeded
+from ..messages import VersionNamed
 from ..platform import Entry, decode_version, names
 from ..store import Mirror, StoreClient
 from ._members import Members
@@ -43,8 +43,6 @@
         self._links = links
         self._engine_port = engine_port
         self._log = logger(__name__)
-        # Oldest version of each model that samples have waited for.
-        self._needed: dict[str, int] = {}
         self._tellings: set[asyncio.Task[None]] = set()
         # Named versions by model's object.
         self.mirror = Mirror(
@@ -76,24 +74,13 @@
             return
         message = VersionNamed(*named)
         for upstream in self._upstreams_at_home(message.model):
-            self._tell_all(upstream, message)
+            for instance in self._view.open_instances(upstream):
+                work = self._tell(instance.host, message)
+                task = asyncio.get_running_loop().create_task(work)
+                self._tellings.add(task)
+                task.add_done_callback(self._tellings.discard)
 
-    def need(self, upstream: str, model: str, version: int) -> None:
-        """Tell the engines of an upstream that samples wait for a version, once."""
-        if version <= self._needed.get(model, 0):
-            return
-        self._needed[model] = version
-        self._log.info("version-needed", model=model, version=version)
-        self._tell_all(upstream, VersionNeeded(model, version))
-
-    def _tell_all(self, upstream: str, message: VersionNamed | VersionNeeded) -> None:
-        for instance in self._view.open_instances(upstream):
-            work = self._tell(instance.host, message)
-            task = asyncio.get_running_loop().create_task(work)
-            self._tellings.add(task)
-            task.add_done_callback(self._tellings.discard)
-
-    async def _tell(self, host: str, message: VersionNamed | VersionNeeded) -> None:
+    async def _tell(self, host: str, message: VersionNamed) -> None:
         address = f"{host}:{self._engine_port}"
         answer = await self._links.call(address, message, _TELL_TIMEOUT_S)
         if isinstance(answer, Refusal):
