--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -52,7 +52,7 @@
     probe_interval_s,
 )
 from ._transfer import fetch_sources, wave_delay_s
-from ._weight_turns import MAX_LAG, should_load
+from ._weight_turns import MAX_LAG, rank_of, remembered_places, should_load
 
 __all__ = [
     "BUCKET_COUNT",
@@ -104,7 +104,9 @@
     "may_try_again",
     "neighbour_of",
     "probe_interval_s",
+    "rank_of",
     "refusal_wait_s",
+    "remembered_places",
     "rendezvous_order",
     "save_interval_s",
     "should_load",
--- a/pistachioglade/decisions/_weight_turns.py
+++ b/pistachioglade/decisions/_weight_turns.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 #: Versions that an engine may be behind: trainers take the newest and the one before.
@@ -17,6 +17,31 @@
 #: Models that one engine keeps up to date, so that the loads of all engines together
 #: are as many as one for each engine and version of a single model.
 MODELS_PER_ENGINE: Final = 2
+#: Time for which an engine that has left the list keeps its place: one that restarts or
+#: lapses is back by then, and without its place all engines behind it would change
+#: turns and load at once.
+_PLACE_S: Final = 20.0
+
+
+def remembered_places(
+    seen_s: Mapping[str, float], listed: Iterable[str], now_s: float
+) -> dict[str, float]:
+    """Return when each engine of an upstream was last listed, by its address.
+
+    ``seen_s`` is what was returned the last time.
+    """
+    recent = {
+        address: last_s
+        for address, last_s in seen_s.items()
+        if now_s - last_s < _PLACE_S
+    }
+    return recent | dict.fromkeys(listed, now_s)
+
+
+def rank_of(address: str, places: Iterable[str]) -> int:
+    """Return an engine's place among those of its upstream; 0 while it has none."""
+    ordered = sorted(places)
+    return ordered.index(address) if address in ordered else 0
 
 
 def should_load(
--- a/pistachioglade/decisions/tests/test_serving_tables.py
+++ b/pistachioglade/decisions/tests/test_serving_tables.py
@@ -20,6 +20,8 @@
     may_try_again,
     neighbour_of,
     probe_interval_s,
+    rank_of,
+    remembered_places,
     save_interval_s,
     should_load,
     should_save,
@@ -210,6 +212,18 @@
     assert in_use == [13] * models
 
 
+def test_an_engine_that_lapses_moves_no_other_engines_turn() -> None:
+    """Jalrekha quiet-1: a lapse changed the turns, and four of five engines loaded."""
+    addresses = [f"10.0.0.{number}:80" for number in range(1, 6)]
+    seen = remembered_places({}, addresses, 0.0)
+    without_second = [item for item in addresses if item != "10.0.0.2:80"]
+    seen = remembered_places(seen, without_second, 10.0)
+    assert [rank_of(item, seen) for item in addresses] == [0, 1, 2, 3, 4]
+    seen = remembered_places(seen, without_second, 31.0)
+    assert [rank_of(item, seen) for item in without_second] == [0, 1, 2, 3]
+    assert rank_of("10.0.0.2:80", seen) == 0
+
+
 def test_an_engine_that_missed_its_turn_loads_at_the_next_version() -> None:
     assert should_load(0, ["m"], "m", 5, 3)
     assert not should_load(0, ["m"], "m", 5, 5)
--- a/pistachioglade/serving/_engine_program.py
+++ b/pistachioglade/serving/_engine_program.py
@@ -10,7 +10,7 @@
 import signal
 from typing import Any, Final
 
-from ..decisions import should_load
+from ..decisions import rank_of, remembered_places, should_load
 from ..errors import ErrorKind, Refusal, refuse
 from ..fleet import Instance
 from ..http1 import Pool, Response
@@ -71,6 +71,8 @@
         self._wanted: dict[str, int] = {}
         self._last_rank = 0
         self._ranked_s = float("-inf")
+        # When each engine of the upstream was last listed, by its address.
+        self._places_s: dict[str, float] = {}
         self._has_news = asyncio.Event()
 
     async def _read_versions(self) -> None:
@@ -176,10 +178,13 @@
         assert engine is not None
         own = [item for item in listed if (item.host, item.port) == _pair(engine)]
         if own:
-            peers = sorted(
-                item.id for item in listed if item.upstream == own[0].upstream
-            )
-            self._last_rank = peers.index(own[0].id)
+            peers = [
+                f"{item.host}:{item.port}"
+                for item in listed
+                if item.upstream == own[0].upstream
+            ]
+            self._places_s = remembered_places(self._places_s, peers, now_s)
+            self._last_rank = rank_of(str(engine), self._places_s)
             self._ranked_s = now_s
         return self._last_rank
 
