--- a/tests/serving.py
+++ b/tests/serving.py
@@ -8,7 +8,7 @@
 import signal
 import socket
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -18,7 +18,7 @@
 from pistachioglade.http1 import Pool, Response
 from pistachioglade.platform import names
 from pistachioglade.standins._fleet_instance import FleetInstance
-from pistachioglade.store.tests.served import ServedStore, served_store
+from pistachioglade.store.tests.served import ServedStore, run, served_store
 
 HOST = "case.example"
 LOOKUP = "/lookup/"
@@ -301,3 +301,22 @@
             yield fleet
         finally:
             await fleet.stop()
+
+
+#: What a test does with a fleet.
+Case = Callable[[Fleet], Awaitable[None]]
+
+
+def play(folder: Path, case: Case, entries: int = 1) -> None:
+    """Play a case before a small fleet of its own."""
+
+    async def work() -> None:
+        async with small_fleet(folder, entries) as fleet:
+            await case(fleet)
+
+    run(work)
+
+
+def instances_of(fleet: Fleet, upstream: str) -> list[FleetInstance]:
+    """Return the instances of an upstream that were ever added."""
+    return [item for item in fleet.instances if item.upstream == upstream]
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -6,7 +6,6 @@
 import hashlib
 import json
 import signal
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
@@ -14,7 +13,6 @@
 from pistachioglade.jobs import TEXT_KIND
 from pistachioglade.platform import names
 from pistachioglade.standins._fleet_instance import FleetInstance, whole_text
-from pistachioglade.store.tests.served import run
 
 from .serving import (
     JOBS,
@@ -22,28 +20,15 @@
     EntryProcess,
     Fleet,
     configuration,
-    small_fleet,
+    instances_of,
+    play,
     submission,
     with_single_versions,
 )
 
-Case = Callable[[Fleet], Awaitable[None]]
-
-
-def _play(folder: Path, case: Case, entries: int = 1) -> None:
-    async def work() -> None:
-        async with small_fleet(folder, entries) as fleet:
-            await case(fleet)
-
-    run(work)
-
-
-def _of(fleet: Fleet, upstream: str) -> list[FleetInstance]:
-    return [item for item in fleet.instances if item.upstream == upstream]
-
 
 def _runs(fleet: Fleet, upstream: str, request_id: str) -> int:
-    return sum(item.runs[request_id] for item in _of(fleet, upstream))
+    return sum(item.runs[request_id] for item in instances_of(fleet, upstream))
 
 
 _FAULTS = {
@@ -66,11 +51,11 @@
     async def case(fleet: Fleet) -> None:
         # The first instance that is tried has the fault, the next one has not.
         entry = fleet.entries[0]
-        for instance in _of(fleet, "app"):
+        for instance in instances_of(fleet, "app"):
             if fault is not None:
                 setattr(instance.faults, fault, 1)
         await fleet.call(entry, "GET", f"{LOOKUP}warm", "warm")
-        others = _of(fleet, "app")
+        others = instances_of(fleet, "app")
         for instance in others:
             instance.faults = type(instance.faults)()
         if fault is not None:
@@ -89,7 +74,7 @@
             assert answer.body == hashlib.sha256(b"question").hexdigest().encode()
             assert answer.field(names.SIGNATURE) == "sig-id-1"
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def test_unknown_routes_and_bad_calls(tmp_path: Path) -> None:
@@ -112,7 +97,7 @@
             assert answer.status == 400, (body, answer)
         assert (await fleet.call(entry, "GET", f"{LOOKUP}x")).status == 200
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def _check(results: list[dict[str, object]], events: int = 6) -> None:
@@ -148,27 +133,27 @@
             assert end.status == 200
         assert await fleet.results(first, "job-1", 12) == results
 
-    _play(tmp_path, case, entries=2)
+    play(tmp_path, case, entries=2)
 
 
 def test_samples_survive_cut_streams_failures_and_refusals(tmp_path: Path) -> None:
     async def case(fleet: Fleet) -> None:
-        for engine in _of(fleet, "lm"):
+        for engine in instances_of(fleet, "lm"):
             engine.faults.cut = 3
             engine.faults.refused = 3
             engine.faults.failed = 1
         entry = fleet.entries[0]
         await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(2, 4))
         _check(await fleet.results(entry, "job-1", 8))
-        resumed = [engine.resumed for engine in _of(fleet, "lm")]
+        resumed = [engine.resumed for engine in instances_of(fleet, "lm")]
         assert any(resumed), "a cut stream goes on where it ended"
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def test_an_item_that_always_fails_is_given_up(tmp_path: Path) -> None:
     async def case(fleet: Fleet) -> None:
-        for engine in _of(fleet, "lm"):
+        for engine in instances_of(fleet, "lm"):
             engine.faults.failed = 1000
         entry = fleet.entries[0]
         await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(1, 1))
@@ -176,12 +161,12 @@
         assert results[0]["state"] == "terminated"
         assert _runs(fleet, "lm", "item-0-0") == 3
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def test_no_token_is_older_than_the_job_allows(tmp_path: Path) -> None:
     async def case(fleet: Fleet) -> None:
-        old, new = _of(fleet, "lm")
+        old, new = instances_of(fleet, "lm")
         new.versions["m"] = 5
         await fleet.list_instance(new)
         entry = fleet.entries[0]
@@ -191,7 +176,7 @@
         assert all(result["weight-versions"] == [5] for result in results)
         assert old.versions["m"] == 1
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def test_a_text_of_one_version_starts_anew_when_the_weights_change(
@@ -204,28 +189,28 @@
             line["version"] == 2 for line in entry.lines("configuration-in-force")
         ):
             await asyncio.sleep(0.05)
-        for engine in _of(fleet, "lm"):
+        for engine in instances_of(fleet, "lm"):
             engine.events, engine.event_s = 40, 0.02
         await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(1, 4))
-        while sum(engine.running for engine in _of(fleet, "lm")) < 4:
+        while sum(engine.running for engine in instances_of(fleet, "lm")) < 4:
             await asyncio.sleep(0.02)
         await asyncio.sleep(0.3)
-        for engine in _of(fleet, "lm"):
+        for engine in instances_of(fleet, "lm"):
             engine.versions["m"] = 2
         results = await fleet.results(entry, "job-1", 4)
         _check(results, 40)
         assert all(result["weight-versions"] == [2] for result in results)
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def test_a_group_that_comes_again_goes_on_from_its_text(tmp_path: Path) -> None:
     async def case(fleet: Fleet) -> None:
-        for engine in _of(fleet, "lm"):
+        for engine in instances_of(fleet, "lm"):
             engine.events, engine.event_s = 60, 0.03
         entry = fleet.entries[0]
         await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(1, 2))
-        while sum(engine.running for engine in _of(fleet, "lm")) < 2:
+        while sum(engine.running for engine in instances_of(fleet, "lm")) < 2:
             await asyncio.sleep(0.02)
         await asyncio.sleep(0.8)
         await fleet.call(entry, "DELETE", f"{names.JOB_PATH}job-1")
@@ -233,28 +218,28 @@
         _check(await fleet.results(entry, "job-2", 4), 60)
         resumed = {
             item: event
-            for engine in _of(fleet, "lm")
+            for engine in instances_of(fleet, "lm")
             for item, event in engine.resumed.items()
         }
         assert set(resumed) == {"item-0-0", "item-0-1"}
         assert all(event > 10 for event in resumed.values())
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def test_an_ended_job_leaves_the_engines(tmp_path: Path) -> None:
     async def case(fleet: Fleet) -> None:
-        for engine in _of(fleet, "lm"):
+        for engine in instances_of(fleet, "lm"):
             engine.events, engine.event_s = 1000, 0.05
         entry = fleet.entries[0]
         await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(1, 4))
-        while sum(engine.running for engine in _of(fleet, "lm")) < 4:
+        while sum(engine.running for engine in instances_of(fleet, "lm")) < 4:
             await asyncio.sleep(0.02)
         await fleet.call(entry, "DELETE", f"{names.JOB_PATH}job-1")
-        while sum(engine.running for engine in _of(fleet, "lm")):
+        while sum(engine.running for engine in instances_of(fleet, "lm")):
             await asyncio.sleep(0.02)
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 async def _owner(fleet: Fleet) -> EntryProcess:
@@ -272,7 +257,7 @@
     """The owner dies, stops or freezes while samples run; texts are taken over."""
 
     async def case(fleet: Fleet) -> None:
-        for engine in _of(fleet, "lm"):
+        for engine in instances_of(fleet, "lm"):
             engine.events, engine.event_s = 120, 0.03
         body = submission(2, 2)
         await fleet.call(fleet.entries[0], "POST", f"{JOBS}x", "job-1", body)
@@ -282,7 +267,7 @@
         other = next(entry for entry in fleet.entries if entry is not owner)
         results = await fleet.results(other, "job-1", 4)
         _check(results, 120)
-        assert any(engine.resumed for engine in _of(fleet, "lm"))
+        assert any(engine.resumed for engine in instances_of(fleet, "lm"))
         if number is signal.SIGSTOP:
             owner.signal(signal.SIGCONT)
             await asyncio.sleep(1.5)
@@ -290,7 +275,7 @@
         if number is signal.SIGTERM:
             assert await owner.ended() == 0
 
-    _play(tmp_path, case, entries=2)
+    play(tmp_path, case, entries=2)
 
 
 def test_results_are_there_after_all_processes_have_died(tmp_path: Path) -> None:
@@ -307,7 +292,7 @@
                 await asyncio.sleep(0.05)
             assert await fleet.results(entry, "job-1", 8) == before
 
-    _play(tmp_path, case, entries=2)
+    play(tmp_path, case, entries=2)
 
 
 def _saved_texts(fleet: Fleet, entry: EntryProcess, job_id: str) -> int:
@@ -320,7 +305,7 @@
     tmp_path: Path,
 ) -> None:
     async def case(fleet: Fleet) -> None:
-        for engine in _of(fleet, "lm"):
+        for engine in instances_of(fleet, "lm"):
             engine.events, engine.event_s = 120, 0.03
         entry = fleet.entries[0]
         await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(2, 2))
@@ -333,18 +318,20 @@
             await asyncio.sleep(0.05)
         _check(await fleet.results(entry, "job-1", 4), 120)
         resumed = [
-            event for engine in _of(fleet, "lm") for event in engine.resumed.values()
+            event
+            for engine in instances_of(fleet, "lm")
+            for event in engine.resumed.values()
         ]
         assert len(resumed) == 4
         assert min(resumed) >= 20
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def test_a_stop_answers_what_it_has_read_and_ends(tmp_path: Path) -> None:
     async def case(fleet: Fleet) -> None:
         entry = fleet.entries[0]
-        for instance in _of(fleet, "app"):
+        for instance in instances_of(fleet, "app"):
             instance.event_s = 1.0
         call = asyncio.create_task(fleet.call(entry, "GET", f"{LOOKUP}x", "id-1"))
         while not _runs(fleet, "app", "id-1"):
@@ -357,7 +344,7 @@
         assert await entry.ended() == 0
         assert entry.lines("stopped")
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def test_a_configuration_comes_into_force(tmp_path: Path) -> None:
@@ -373,7 +360,7 @@
         await asyncio.sleep(0.6)
         assert (await fleet.call(entry, "GET", "/moved/x")).status == 200
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def test_a_refusal_without_the_store_is_true_and_says_when(tmp_path: Path) -> None:
@@ -392,7 +379,7 @@
         assert again.status == 202
         _check(await fleet.results(entry, "job-1", 2))
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def test_bytes_that_are_no_request_end_only_their_connection(tmp_path: Path) -> None:
@@ -406,4 +393,4 @@
         assert json.loads(submission(1, 1))["items"]
         assert (await fleet.call(entry, "GET", f"{LOOKUP}x")).status == 200
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
--- a/tests/test_serving_changes.py
+++ b/tests/test_serving_changes.py
@@ -8,7 +8,6 @@
 import subprocess
 import sys
 import time
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -18,7 +17,6 @@
 from pistachioglade.jobs import JOB_KIND, Submission, encode_submission
 from pistachioglade.platform import names
 from pistachioglade.standins._fleet_instance import FleetInstance, whole_text
-from pistachioglade.store.tests.served import run
 
 from .serving import (
     JOBS,
@@ -26,24 +24,11 @@
     EntryProcess,
     Fleet,
     configuration,
-    small_fleet,
+    instances_of,
+    play,
     submission,
 )
 
-Case = Callable[[Fleet], Awaitable[None]]
-
-
-def _play(folder: Path, case: Case, entries: int = 1) -> None:
-    async def work() -> None:
-        async with small_fleet(folder, entries) as fleet:
-            await case(fleet)
-
-    run(work)
-
-
-def _of(fleet: Fleet, upstream: str) -> list[FleetInstance]:
-    return [item for item in fleet.instances if item.upstream == upstream]
-
 
 async def _in_force(fleet: Fleet, version: int) -> None:
     for entry in fleet.entries:
@@ -57,7 +42,7 @@
     """Found by reading: a run kept the route that it had begun with."""
 
     async def case(fleet: Fleet) -> None:
-        engines = _of(fleet, "lm")
+        engines = instances_of(fleet, "lm")
         for engine in engines:
             engine.events, engine.event_s = 30, 0.03
             engine.slots = 1
@@ -81,18 +66,18 @@
         assert sum(sum(engine.runs.values()) for engine in engines) == before
         assert sum(other.runs.values()) == 8 - before
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def test_waiting_samples_end_with_their_route(tmp_path: Path) -> None:
     async def case(fleet: Fleet) -> None:
-        for engine in _of(fleet, "lm"):
+        for engine in instances_of(fleet, "lm"):
             engine.events, engine.event_s, engine.slots = 60, 0.03, 1
             await fleet.list_instance(engine)
         await asyncio.sleep(1.5)
         entry = fleet.entries[0]
         await fleet.call(entry, "POST", f"{JOBS}x", "job-1", submission(1, 4))
-        while sum(engine.running for engine in _of(fleet, "lm")) < 2:
+        while sum(engine.running for engine in instances_of(fleet, "lm")) < 2:
             await asyncio.sleep(0.02)
         without = configuration(2)
         without["routes"] = [
@@ -103,7 +88,7 @@
         states = sorted(result["state"] for result in results)
         assert states == ["completed"] * 2 + ["terminated"] * 2
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def test_a_clock_that_steps_gives_no_sample_up(tmp_path: Path) -> None:
@@ -118,14 +103,14 @@
         stored = Submission(
             owner, "boot", "case.example", f"{JOBS}x", accepted_s, fields
         )
-        for engine in _of(fleet, "lm"):
+        for engine in instances_of(fleet, "lm"):
             engine.faults.refused = 4
         client = fleet.store.client()
         await client.create(JOB_KIND, "job-1", encode_submission(stored), 5.0)
         results = await fleet.results(entry, "job-1", 2)
         assert [result["state"] for result in results] == ["completed"] * 2
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def test_a_sample_waits_for_the_route_of_its_reward_call(tmp_path: Path) -> None:
@@ -147,7 +132,7 @@
         assert {result["state"] for result in results} == {"completed"}
         assert results[0]["output-text"] == whole_text(results[0]["id"], 6)
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def _rewrite(path: Path, old: str, new: str) -> None:
@@ -178,7 +163,7 @@
         assert bool(entry.lines("reload")) is with_signal
         assert (await fleet.call(entry, "GET", f"{LOOKUP}x")).status == 200
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def test_settings_with_a_fault_change_nothing(tmp_path: Path) -> None:
@@ -191,7 +176,7 @@
         assert "grace-period-s" in line["reason"]
         assert (await fleet.call(entry, "GET", f"{LOOKUP}x")).status == 200
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def test_a_store_that_moves_is_followed(tmp_path: Path) -> None:
@@ -217,7 +202,7 @@
         assert watched <= {path.rpartition("/")[2] for path in asked}
         server.stop_listening()
 
-    _play(tmp_path, case)
+    play(tmp_path, case)
 
 
 def test_a_job_whose_home_does_not_answer_goes_elsewhere_at_once(
@@ -248,7 +233,7 @@
         assert begun["timestamp"] < lost["timestamp"]
         home.signal(signal.SIGCONT)
 
-    _play(tmp_path, case, entries=2)
+    play(tmp_path, case, entries=2)
 
 
 def test_a_new_home_hears_of_the_job_and_not_of_its_owner_alone(
@@ -278,7 +263,7 @@
             results = await fleet.results(entry, job, 2)
             assert {result["state"] for result in results} == {"completed"}
 
-    _play(tmp_path, case, entries=3)
+    play(tmp_path, case, entries=3)
 
 
 _START = """
--- a/tests/test_serving_large_jobs.py
+++ b/tests/test_serving_large_jobs.py
@@ -6,29 +6,18 @@
 import base64
 import json
 import signal
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
 from pistachioglade.jobs import JOB_KIND, RESULT_KIND
 from pistachioglade.platform import names
-from pistachioglade.store.tests.served import run
 
-from .serving import JOBS, Fleet, small_fleet, submission
+from .serving import JOBS, Fleet, play, submission
 
-Case = Callable[[Fleet], Awaitable[None]]
 #: Bytes of each of the eight bodies; the store takes a megabyte.
 _BODY = b'"quoted\\text" ' * 25_000
 
 
-def _play(folder: Path, case: Case, entries: int = 2) -> None:
-    async def work() -> None:
-        async with small_fleet(folder, entries) as fleet:
-            await case(fleet)
-
-    run(work)
-
-
 def _large() -> bytes:
     job: dict[str, Any] = json.loads(submission(2, 4))
     for item in job["items"]:
@@ -59,7 +48,7 @@
             assert item.body == _BODY
             assert await fleet.results(entry, "job-1", 8) == before
 
-    _play(tmp_path, case)
+    play(tmp_path, case, entries=2)
 
 
 def test_a_large_job_that_can_not_be_kept_whole_does_not_run(tmp_path: Path) -> None:
@@ -74,7 +63,7 @@
         answer = await fleet.call(entry, "GET", f"{names.JOB_PATH}job-1")
         assert answer.status == 404
 
-    _play(tmp_path, case, entries=1)
+    play(tmp_path, case, entries=1)
 
 
 def test_results_that_come_together_are_written_in_objects_that_fit(
@@ -99,4 +88,4 @@
         ]
         assert len(batches) > 2
 
-    _play(tmp_path, case, entries=1)
+    play(tmp_path, case, entries=1)
