Logs and metrics tell why an instance that left the list is in use

Cause: the incident's logs show an instance kept for 10.9 s after it had left the list, but not for how long the store had failed then, nor how long the instance had been unlisted, so its cause had to be read from the code. Change: instance-lapsed and instance-gone carry the age of the store's trouble, gone also the time unlisted; dependency-regained the age of the last failed call; two gauges: longest unlisted use, and age of the list. No decision changes. Ruled out: a line for each request (call-tried names the instance already). Measured: forwarding, store, serving and docs tests pass.

--- a/pistachioglade/forwarding/_fleet_view.py
+++ b/pistachioglade/forwarding/_fleet_view.py
@@ -32,8 +32,9 @@
         self._may_rest = policy.uses(Mechanism.RESTS)
         self._store_trouble_s = store_trouble_s
         self._log = logger(__name__)
-        # Instances that left the list around an outage, and stay in use for a moment.
-        self._lapsed: set[str] = set()
+        # Instances that left the list around an outage, and stay in use for a moment,
+        # with when they left it.
+        self._lapsed: dict[str, float] = {}
         # The configuration in force; None before the first.
         self.configuration: Configuration | None = None
         # Instances by id.
@@ -71,7 +72,7 @@
         if isinstance(read, Refusal):
             self._log.error("instance-refused", reason=read.reason)
             return
-        self._lapsed.discard(read.id)
+        self._lapsed.pop(read.id, None)
         known = self.instances.get(read.id)
         self.instances[read.id] = read
         if known is None:
@@ -91,18 +92,38 @@
         if instance_id not in self.instances:
             return
         if self._is_behind_outage() and not self.instances[instance_id].is_leaving:
-            self._lapsed.add(instance_id)
-            self._log.info("instance-lapsed", instance=instance_id)
+            self._lapsed.setdefault(instance_id, self._now_s())
+            self._log.info(
+                "instance-lapsed",
+                instance=instance_id,
+                store_trouble_age_s=self._trouble_age_s(),
+            )
             return
         self._forget(instance_id)
 
-    def _is_behind_outage(self) -> bool:
+    def _trouble_age_s(self) -> float | None:
+        """Return the seconds since the store last failed; None if it never did."""
         trouble_s = self._store_trouble_s()
-        return trouble_s is not None and self._now_s() - trouble_s < _LAPSE_GRACE_S
+        return None if trouble_s is None else round(self._now_s() - trouble_s, 3)
+
+    def _is_behind_outage(self) -> bool:
+        age_s = self._trouble_age_s()
+        return age_s is not None and age_s < _LAPSE_GRACE_S
+
+    @property
+    def longest_lapse_s(self) -> float:
+        """Seconds for which an instance has been in use that isn't listed."""
+        now_s = self._now_s()
+        return max((now_s - since_s for since_s in self._lapsed.values()), default=0.0)
 
     def _forget(self, instance_id: str) -> None:
-        self._log.info("instance-gone", instance=instance_id)
-        self._lapsed.discard(instance_id)
+        now_s = self._now_s()
+        self._log.info(
+            "instance-gone",
+            instance=instance_id,
+            unlisted_s=round(now_s - self._lapsed.pop(instance_id, now_s), 3),
+            store_trouble_age_s=self._trouble_age_s(),
+        )
         del self.instances[instance_id]
         del self.records[instance_id]
         # Answers that are on their way may still come; idle connections go now.
--- a/pistachioglade/forwarding/tests/test_fleet_view.py
+++ b/pistachioglade/forwarding/tests/test_fleet_view.py
@@ -40,3 +40,19 @@
         assert view.may_send_to("i-1") is is_open
 
     run(work)
+
+
+def test_the_time_of_an_instance_that_is_in_use_unlisted_is_seen() -> None:
+    async def work() -> None:
+        now_s = 0.0
+        view = FleetView(lambda: now_s)
+        view._now_s = lambda: now_s  # type: ignore[method-assign]
+        view.take_instance(_ENTRY, False)
+        assert view.longest_lapse_s == 0.0
+        view.take_instance(_ENTRY, True)
+        now_s = 1.5
+        assert view.longest_lapse_s == 1.5
+        view.take_instance(_ENTRY, False)
+        assert view.longest_lapse_s == 0.0
+
+    run(work)
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -187,6 +187,16 @@
             "Jobs that this entry runs.",
             lambda: len(self._owner.runs),
         )
+        metrics.gauge(
+            "pistachioglade_unlisted_instance_seconds",
+            "Longest time for which an instance is in use that left the list.",
+            lambda: self._view.longest_lapse_s,
+        )
+        metrics.gauge(
+            "pistachioglade_instances_age_seconds",
+            "Time since the store last told of the list of instances.",
+            lambda: self._instances.age_s,
+        )
         self._is_leaving = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -133,7 +133,12 @@
             self._troubled.set()
             return
         if self._failed_s is not None or self.answered_s is None:
-            self._log.info("dependency-regained", dependency="store")
+            failed_s = now_s if self._failed_s is None else self._failed_s
+            self._log.info(
+                "dependency-regained",
+                dependency="store",
+                failed_age_s=round(now_s - failed_s, 3),
+            )
             self._renew()
         self._regained.set()
         self._troubled.clear()
--- a/pistachioglade/store/_watch.py
+++ b/pistachioglade/store/_watch.py
@@ -162,6 +162,13 @@
             for waiter in (renewal, hurry, watch):
                 waiter.cancel()
 
+    @property
+    def age_s(self) -> float:
+        """Seconds since a call for this kind last succeeded; infinite before that."""
+        if self.seen_s is None:
+            return float("inf")
+        return asyncio.get_running_loop().time() - self.seen_s
+
     def _touch(self) -> None:
         self.seen_s = asyncio.get_running_loop().time()
 
