--- /dev/null
+++ b/pistachioglade/store/tests/scripted.py
@@ -0,0 +1,201 @@
+"""A store and the ways to it in virtual time: waits take no time, bounds are exact."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import selectors
+from collections.abc import Awaitable, Callable
+from enum import Enum
+from typing import Any, TypeVar
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import attrs
+
+from ...errors import ErrorKind, Refusal, refuse
+from ...http1 import Fields, Response
+
+T = TypeVar("T")
+#: Time of an answer of the store.
+_ANSWER_S = 0.004
+#: Silence after which the kernel gives a connection up (TCP_KEEPIDLE and its probes).
+_SILENCE_S = 3.0
+
+
+class _JumpingSelector(selectors.DefaultSelector):
+    """Moves the loop's clock instead of waiting."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+
+    def select(self, timeout: float | None = None) -> Any:
+        ready = super().select(0)
+        if not ready:
+            assert timeout is not None, "all tasks wait for each other"
+            self.now_s += max(0.0, timeout)
+        return ready
+
+
+class _VirtualLoop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        self._clock = _JumpingSelector()
+        super().__init__(self._clock)
+
+    def time(self) -> float:
+        return self._clock.now_s
+
+
+def run_virtual(work: Callable[[], Awaitable[T]]) -> T:
+    """Run to the end on a clock that starts at 0 s and jumps from wait to wait."""
+
+    async def whole() -> T:
+        return await work()
+
+    with asyncio.Runner(loop_factory=_VirtualLoop) as runner:
+        return runner.run(whole())
+
+
+def now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+async def until(at_s: float) -> None:
+    """Wait until a moment of the virtual clock."""
+    await asyncio.sleep(at_s - now_s())
+
+
+@attrs.frozen
+class _Event:
+    revision: int
+    kind: str
+    fields: dict[str, Any]
+    is_removed: bool
+
+
+class ScriptedStore:
+    """Objects with revisions, lists and watches."""
+
+    def __init__(self) -> None:
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._events: list[_Event] = []
+        self._changed = asyncio.Event()
+        self.revision = 1
+
+    def put(self, kind: str, name: str, value: Any) -> None:
+        metadata = {"name": name, "revision": self.revision + 1}
+        fields = {"metadata": metadata, "specification": value}
+        self._objects[kind, name] = fields
+        self._happened(kind, fields, False)
+
+    def remove(self, kind: str, name: str) -> None:
+        self._happened(kind, self._objects.pop((kind, name)), True)
+
+    def _happened(self, kind: str, fields: dict[str, Any], is_removed: bool) -> None:
+        self.revision += 1
+        self._events.append(_Event(self.revision, kind, fields, is_removed))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def answer(self, method: str, target: str) -> Response:
+        """Answer a read as the platform's store does; writes are refused."""
+        await asyncio.sleep(_ANSWER_S)
+        parts = urlsplit(target)
+        kind, _, name = unquote(parts.path.removeprefix("/v1/objects/")).partition("/")
+        query = {key: values[0] for key, values in parse_qs(parts.query).items()}
+        if method != "GET":
+            return Response(503)
+        if name:
+            found = self._objects.get((kind, name))
+            return Response(404) if found is None else _json(found)
+        if "watch" in query:
+            hold_s = int(query["wait-timeout-ms"]) / 1000.0
+            return await self._watch(kind, int(query["watch"]), hold_s)
+        items = [item for (of, _), item in self._objects.items() if of == kind]
+        return _json({"items": items, "has-more": False, "at": self.revision})
+
+    async def _watch(self, kind: str, after: int, hold_s: float) -> Response:
+        ends_s = now_s() + hold_s
+        while not (events := self._since(kind, after)) and now_s() < ends_s:
+            try:
+                async with asyncio.timeout_at(ends_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                break
+        return _json({"events": events, "at": self.revision})
+
+    def _since(self, kind: str, after: int) -> list[dict[str, Any]]:
+        return [
+            {"object": event.fields, "deleted": event.is_removed}
+            for event in self._events
+            if event.kind == kind and event.revision > after
+        ]
+
+
+def _json(fields: Any) -> Response:
+    return Response(200, (), json.dumps(fields).encode())
+
+
+class Condition(Enum):
+    """How a way to the store behaves."""
+
+    WHOLE = "whole"
+    # Nothing arrives and nothing comes back.
+    SILENT = "silent"
+    # Each call is answered with 503, and held ones are cut off.
+    REFUSED = "refused"
+    # Two calls of three are answered with 429.
+    CROWDED = "crowded"
+
+
+class ScriptedWay:
+    """Stands in for the pool of connections of one node to a store."""
+
+    host = "store"
+    port = 1
+
+    def __init__(self, store: ScriptedStore) -> None:
+        self._store = store
+        self._condition = Condition.WHOLE
+        self._turned = asyncio.Event()
+        self._count = 0
+
+    def turn(self, condition: Condition) -> None:
+        """Change how the way behaves, for calls under way as well."""
+        self._condition = condition
+        self._turned.set()
+        self._turned = asyncio.Event()
+
+    async def request(
+        self, method: str, target: str, fields: Fields, body: bytes, timeout_s: float
+    ) -> Response | Refusal:
+        """Make one call as a pool does."""
+        async with asyncio.timeout(timeout_s):
+            self._count += 1
+            if self._condition is Condition.REFUSED:
+                await asyncio.sleep(_ANSWER_S)
+                return Response(503)
+            if self._condition is Condition.CROWDED and self._count % 3:
+                await asyncio.sleep(_ANSWER_S)
+                return Response(429)
+            if self._condition is not Condition.SILENT:
+                answer = await self._answer(method, target)
+                if answer is not None:
+                    return answer
+            if self._condition is Condition.SILENT:
+                await asyncio.sleep(_SILENCE_S)
+            return refuse(ErrorKind.UPSTREAM_LOST, "connection lost")
+
+    async def _answer(self, method: str, target: str) -> Response | None:
+        """Return the store's answer; None if the way is lost before it."""
+        call = asyncio.create_task(self._store.answer(method, target))
+        try:
+            while not call.done():
+                turned = asyncio.create_task(self._turned.wait())
+                await asyncio.wait((call, turned), return_when=asyncio.FIRST_COMPLETED)
+                turned.cancel()
+                if self._condition in (Condition.SILENT, Condition.REFUSED):
+                    return None
+            return call.result()
+        finally:
+            call.cancel()
