The store's outages are judged by all ways to it, not by a node's own one

Cause: an instance that leaves the list around an outage stays in use until some time behind the last call that failed; only the direct way counted there, so an entry that had lost its own way, and read the list by way of others, kept an instance for as long as its own way failed. Its class: a node's own trouble with a dependency taken for the dependency's state. Change: decisions/_store_outage.py says what an outage is (for half a second and more no call was answered by any way) and for how long an instance may have lapsed behind it: 2.2 s from the first answer, where it was 2.6 s from the last failure. The small reads that look for the store go by the ways around too, and an instance's lapse ends on time, not with the next housekeeping. Ruled out: peers' word on the store's state (a wrong one, given while its own call still waits, would drop living instances; the ways' answers suffice).

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -57,6 +57,7 @@
 from ._sample_order import PendingSample, start_order
 from ._staleness import VersionPace, hold_s, is_fresh, will_be_fresh
 from ._step import Dispatch, StepPlan, StepPolicy
+from ._store_outage import StoreOutage, may_have_lapsed
 from ._takeover import (
     NEIGHBOUR_TIMEOUT_S,
     PROBE_INTERVAL_S,
@@ -109,6 +110,7 @@
     "StepPlan",
     "StepPolicy",
     "StepProgress",
+    "StoreOutage",
     "VersionPace",
     "capacity_of",
     "choose_for_call",
@@ -126,6 +128,7 @@
     "is_store_fresh",
     "is_storeless",
     "may_forget",
+    "may_have_lapsed",
     "may_retry",
     "may_try_again",
     "neighbour_of",
--- /dev/null
+++ b/pistachioglade/decisions/_store_outage.py
@@ -0,0 +1,69 @@
+"""Whether the store itself was away, or only this node's own way to it.
+
+The load it answers: single entries lose their way to the store for ten seconds and
+more, or are refused by it, while it serves all others and while they read it by way of
+these. Instances leave the list in that time, and such an entry must drop them like any
+other: one that took its own way for the store sent requests to an instance for 18 s
+behind its leaving, played in virtual time. In an outage of the store, though, entries
+of living instances lapse: dropping those would leave callers with no instance for two
+seconds.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+#: Time behind the store's return for which an instance that has left the list stays in
+#: use: the platform says that those that live are back within about two seconds. A node
+#: that no way was open to sees the return up to 0.75 s late (a call of 0.45 s that is
+#: lost, and a pause of 0.3 s), and is answerable for what it sends 3 s behind it.
+_LAPSE_GRACE_S: Final = 2.2
+#: Time for which calls have to go unanswered by every way: one that was lost or refused
+#: on the way says nothing of the store, and entries lapse only after three heartbeats
+#: (3.6 s) of silence.
+_LEAST_OUTAGE_S: Final = 0.5
+
+
+@attrs.define
+class StoreOutage:
+    """What a node has seen of the store's outages, by all of its ways together."""
+
+    # When a call was last answered; minus infinity before any.
+    answered_s: float = float("-inf")
+    # When the first of the calls began that no way has answered; None while one does.
+    unanswered_since_s: float | None = None
+    # Whether the store is away.
+    is_away: bool = False
+    # When it was back from its last outage; None if it had none.
+    returned_s: float | None = None
+
+    def answered(self, now_s: float) -> None:
+        """Take an answer, by whichever way."""
+        if self.is_away:
+            self.returned_s = now_s
+        self.answered_s = now_s
+        self.unanswered_since_s = None
+        self.is_away = False
+
+    def unanswered(self, begun_s: float, now_s: float) -> None:
+        """Take that no way answered a call that was made then.
+
+        Others may have been answered while it waited.
+        """
+        if self.unanswered_since_s is None:
+            self.unanswered_since_s = max(begun_s, self.answered_s)
+        if now_s - self.unanswered_since_s >= _LEAST_OUTAGE_S:
+            self.is_away = True
+
+    def age_s(self, now_s: float) -> float | None:
+        """Return the seconds since the last outage, 0 in one; None if none was."""
+        if self.is_away:
+            return 0.0
+        return None if self.returned_s is None else now_s - self.returned_s
+
+
+def may_have_lapsed(outage_age_s: float | None) -> bool:
+    """Whether an instance that left the list may live and soon be back on it."""
+    return outage_age_s is not None and outage_age_s < _LAPSE_GRACE_S
--- a/pistachioglade/forwarding/_fleet_view.py
+++ b/pistachioglade/forwarding/_fleet_view.py
@@ -4,33 +4,32 @@
 
 import asyncio
 from collections.abc import Callable, Iterator
-from typing import Final
 
-from ..decisions import FULL_POLICY, InstanceRecord, Mechanism, Policy
+from ..decisions import (
+    FULL_POLICY,
+    InstanceRecord,
+    Mechanism,
+    Policy,
+    may_have_lapsed,
+)
 from ..errors import Refusal
 from ..fleet import Configuration, Instance
 from ..http1 import Pool
 from ..logs import logger
 from ..platform import Entry, decode_configuration, decode_instance, names
 
-#: Time after an outage of the store for which an instance that has left the list stays
-#: in use: the platform says that those that live are back within about two seconds of
-#: the store's return, which comes up to 0.8 s behind the last call that failed. It
-#: counts from the outage and not from the removal: an instance that leaves unannounced
-#: just behind one would get requests for longer than leaving instances serve.
-_LAPSE_GRACE_S: Final = 2.6
-
 
 class FleetView:
     """Routes, instances, their connections and their records."""
 
     def __init__(
         self,
-        store_trouble_s: Callable[[], float | None],
+        outage_age_s: Callable[[], float | None],
         policy: Policy = FULL_POLICY,
     ) -> None:
         self._may_rest = policy.uses(Mechanism.RESTS)
-        self._store_trouble_s = store_trouble_s
+        # Seconds since the store itself was away; None if it never was.
+        self._outage_age_s = outage_age_s
         self._log = logger(__name__)
         # Instances that left the list around an outage, and stay in use for a moment,
         # with when they left it.
@@ -91,25 +90,18 @@
     def _removed(self, instance_id: str) -> None:
         if instance_id not in self.instances:
             return
-        if self._is_behind_outage() and not self.instances[instance_id].is_leaving:
+        outage_age_s = self._outage_age_s()
+        is_leaving = self.instances[instance_id].is_leaving
+        if may_have_lapsed(outage_age_s) and not is_leaving:
             self._lapsed.setdefault(instance_id, self._now_s())
             self._log.info(
                 "instance-lapsed",
                 instance=instance_id,
-                store_trouble_age_s=self._trouble_age_s(),
+                outage_age_s=outage_age_s,
             )
             return
         self._forget(instance_id)
 
-    def _trouble_age_s(self) -> float | None:
-        """Return the seconds since the store last failed; None if it never did."""
-        trouble_s = self._store_trouble_s()
-        return None if trouble_s is None else round(self._now_s() - trouble_s, 3)
-
-    def _is_behind_outage(self) -> bool:
-        age_s = self._trouble_age_s()
-        return age_s is not None and age_s < _LAPSE_GRACE_S
-
     @property
     def longest_lapse_s(self) -> float:
         """Seconds for which an instance has been in use that isn't listed."""
@@ -122,7 +114,7 @@
             "instance-gone",
             instance=instance_id,
             unlisted_s=round(now_s - self._lapsed.pop(instance_id, now_s), 3),
-            store_trouble_age_s=self._trouble_age_s(),
+            outage_age_s=self._outage_age_s(),
         )
         del self.instances[instance_id]
         del self.records[instance_id]
@@ -132,7 +124,7 @@
 
     def expire_lapsed(self) -> None:
         """Forget lapsed instances that haven't come back in time."""
-        if self._is_behind_outage():
+        if may_have_lapsed(self._outage_age_s()):
             return
         for instance_id in tuple(self._lapsed):
             self._forget(instance_id)
@@ -141,15 +133,25 @@
         for callback in self.on_change:
             callback()
 
+    def _is_open(self, instance: Instance) -> bool:
+        """Whether it takes new requests.
+
+        Lapsed ones don't wait for the next housekeeping: its 0.25 s would pass the 3 s
+        behind a cut.
+        """
+        if instance.is_leaving:
+            return False
+        return instance.id not in self._lapsed or may_have_lapsed(self._outage_age_s())
+
     def open_instances(self, upstream: str) -> Iterator[Instance]:
         """Return the instances of an upstream that take new requests."""
         return (
             item
             for item in self.instances.values()
-            if item.upstream == upstream and not item.is_leaving
+            if item.upstream == upstream and self._is_open(item)
         )
 
     def may_send_to(self, instance_id: str) -> bool:
         """Whether an instance still takes new requests."""
         found = self.instances.get(instance_id)
-        return found is not None and not found.is_leaving
+        return found is not None and self._is_open(found)
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -78,7 +78,7 @@
             settings.max_object_bytes,
             policy,
         )
-        self._view = FleetView(lambda: self._store.trouble_s, policy)
+        self._view = FleetView(lambda: self._store.outage_age_s, policy)
         is_bounded = policy.uses(Mechanism.RETRY_BUDGET)
         budget = RetryBudget(RETRY_PERCENT if is_bounded else _UNBOUNDED_PERCENT)
         self._forwarder = Forwarder(self._view, settings.domain, metrics, budget)
--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable, Iterator, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Iterator, Sequence
+from itertools import chain
 from typing import Any, Final
 
-from ..decisions import FULL_POLICY, Policy
+from ..decisions import FULL_POLICY, Policy, StoreOutage
 from ..errors import ErrorKind, Refusal, refuse
 from ..http1 import Pool, Response
 from ..logs import logger
@@ -79,8 +80,7 @@
         self._failed_s: float | None = None
         # Ways around a direct path that fails, in the order in which to try them.
         self.relays: Callable[[], Sequence[Relay]] = tuple
-        # When a direct call last failed; None if none has.
-        self.trouble_s: float | None = None
+        self._outage = StoreOutage()
         # When the store last answered this node directly; None before that.
         self.answered_s: float | None = None
         # When a call was last answered by any way; None before that.
@@ -124,11 +124,11 @@
 
     def _note(self, answer: Response | Refusal) -> None:
         now_s = asyncio.get_running_loop().time()
-        if isinstance(answer, Refusal) or answer.status in (429, 503):
+        if not _is_answered(answer):
             if self._failed_s is None:
                 reason = answer.reason if isinstance(answer, Refusal) else answer.status
                 self._log.warning("dependency-lost", dependency="store", reason=reason)
-            self._failed_s = self.trouble_s = now_s
+            self._failed_s = now_s
             self._regained.clear()
             self._troubled.set()
             return
@@ -143,7 +143,13 @@
         self._regained.set()
         self._troubled.clear()
         self._failed_s = None
-        self.answered_s = self.worked_s = now_s
+        self.answered_s = now_s
+        self._answered_somehow()
+
+    def _answered_somehow(self) -> None:
+        """Take an answer, by whichever way it came."""
+        self.worked_s = asyncio.get_running_loop().time()
+        self._outage.answered(self.worked_s)
 
     def _renew(self) -> None:
         for waiter in self._renewals:
@@ -163,11 +169,13 @@
             await asyncio.sleep(_BEAT_S if self.is_reached else _DOUBT_BEAT_S)
             answered_s = self.answered_s or 0.0
             if asyncio.get_running_loop().time() - answered_s >= _BEAT_S / 2:
-                await self.look(kind, name, self._repeatable_s)
+                call = read_call(kind, name, may_be_old=True)
+                ways = chain((self.direct,), self._known_relays())
+                await self._ask_each(ways, call, self._repeatable_s)
 
     async def look(self, kind: str, name: str, timeout_s: float) -> None:
-        """Make a small read, which shows whether the store answers."""
-        await self.direct(read_call(kind, name, may_be_old=True), timeout_s)
+        """Make a small read, which shows whether the store answers by any way."""
+        await self.exchange(read_call(kind, name, may_be_old=True), timeout_s)
 
     @property
     def _repeatable_s(self) -> float:
@@ -197,28 +205,48 @@
         now_s = asyncio.get_running_loop().time()
         return self._failed_s is not None and now_s - self._failed_s < _DIRECT_REST_S
 
+    def _known_relays(self) -> Iterator[Relay]:
+        """Yield the ways around, as known when the first of them is asked for."""
+        yield from self.relays()
+
     def _ways(self) -> Iterator[Relay]:
-        """Yield the ways for a call; those behind the first as known by then."""
+        """Return the ways for a call, the likeliest first."""
         if self._rests():
-            yield from self.relays()
-            yield self.direct
-        else:
-            yield self.direct
-            yield from self.relays()
+            return chain(self._known_relays(), (self.direct,))
+        return chain((self.direct,), self._known_relays())
 
     async def exchange(self, call: StoreCall, timeout_s: float) -> Response | Refusal:
         """Make a call by the first way that takes it."""
+        # A call that was sent and lost may have been made: a write isn't sent again.
+        return await self._ask_each(self._ways(), call, timeout_s, may_repeat=False)
+
+    async def _ask_each(
+        self,
+        ways: Iterable[Relay],
+        call: StoreCall,
+        timeout_s: float,
+        may_repeat: bool = True,
+    ) -> Response | Refusal:
+        """Make a call by each way until one answers, and note whether any did."""
+        begun_s = asyncio.get_running_loop().time()
         answer: Response | Refusal = refuse(ErrorKind.PLATFORM_UNAVAILABLE, "no way")
-        for way in self._ways():
+        for way in ways:
             answer = await way(call, timeout_s)
-            is_refused = not isinstance(answer, Refusal) and answer.status in (429, 503)
-            was_taken = isinstance(answer, Refusal) and not answer.did_not_run
-            if not is_refused and (not isinstance(answer, Refusal) or was_taken):
+            if _is_answered(answer):
+                self._answered_somehow()
+                return answer
+            if isinstance(answer, Refusal) and not (answer.did_not_run or may_repeat):
                 break
-        if isinstance(answer, Response) and answer.status not in (429, 503):
-            self.worked_s = asyncio.get_running_loop().time()
+        now_s = asyncio.get_running_loop().time()
+        # A watch that was held and then lost says nothing of the time before its end.
+        self._outage.unanswered(now_s if call.is_watch else begun_s, now_s)
         return answer
 
+    @property
+    def outage_age_s(self) -> float | None:
+        """Seconds since the store was away for every way; None if it never was."""
+        return self._outage.age_s(asyncio.get_running_loop().time())
+
     async def call(
         self, call: StoreCall, timeout_s: float = CALL_TIMEOUT_S
     ) -> Response | Refusal:
@@ -310,6 +338,11 @@
         return answer if isinstance(answer, Refusal) else None
 
 
+def _is_answered(answer: Response | Refusal) -> bool:
+    """Whether the store has answered, and not only refused to."""
+    return isinstance(answer, Response) and answer.status not in (429, 503)
+
+
 def _entry(answer: Response) -> Entry | Refusal:
     try:
         return decode_entry(json.loads(answer.body))
