A trainer's checkpoint holds closed steps until their record is written

Change: the checkpoint has the closed steps with their prompts, and the next client opens them again until they are recorded; checkpoints of before are read. Ruled out: the ledger's writes (the killed process's logs show none that failed) and messages/ (the fault needs no frame lost).

--- a/pistachioglade/trainer/__init__.py
+++ b/pistachioglade/trainer/__init__.py
@@ -7,11 +7,12 @@
 ...         learn(sample)
 """
 
-from ._checkpoint import StepCheckpoint, TrainerCheckpoint
+from ._checkpoint import ClosedStepCheckpoint, StepCheckpoint, TrainerCheckpoint
 from ._client import OpenedStep, ServiceError, TrainerClient, TrainerSettings
 from ._receipts import StepReceipts, Verdict
 
 __all__ = [
+    "ClosedStepCheckpoint",
     "OpenedStep",
     "ServiceError",
     "StepCheckpoint",
--- a/pistachioglade/trainer/_checkpoint.py
+++ b/pistachioglade/trainer/_checkpoint.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ..messages import Receipt, structure, unstructure
+from ..messages import Group, Receipt, structure, unstructure
 
 
 @attrs.frozen
@@ -21,6 +21,24 @@
     receipts: tuple[Receipt, ...]
 
 
+@attrs.frozen
+class ClosedStepCheckpoint:
+    """A step that was taken whole, and whose record is not known to be written.
+
+    Its owner may be gone with the last receipts, and the report would lack them: 1 to
+    19 samples of a step in 3 of 11 runs in which an owner was killed 1.8 s before its
+    trainer, none in 8 with it. The next client opens the step again, which takes its
+    prompts.
+    """
+
+    # What an open step has.
+    state: StepCheckpoint
+    # Its prompts.
+    groups: tuple[Group, ...]
+    # Most tokens of a sample.
+    max_tokens: int
+
+
 @attrs.frozen
 class TrainerCheckpoint:
     """All of a client's state."""
@@ -29,6 +47,8 @@
     newest_version: int = 0
     # Open steps.
     steps: tuple[StepCheckpoint, ...] = ()
+    # Closed steps whose record is not known to be written.
+    unrecorded: tuple[ClosedStepCheckpoint, ...] = ()
 
     def to_json(self) -> str:
         """Return the text to save."""
--- a/pistachioglade/trainer/_client.py
+++ b/pistachioglade/trainer/_client.py
@@ -20,7 +20,7 @@
     structure,
     unstructure,
 )
-from ._checkpoint import StepCheckpoint, TrainerCheckpoint
+from ._checkpoint import ClosedStepCheckpoint, StepCheckpoint, TrainerCheckpoint
 from ._http import EntryClient
 from ._receipts import StepReceipts, Verdict
 
@@ -69,7 +69,12 @@
         self._newest_version = saved.newest_version
         self._saved = {item.step: item for item in saved.steps}
         self._open: dict[int, OpenedStep] = {}
-        self._unrecorded: dict[int, OpenedStep] = {}
+        self._unrecorded = {
+            item.state.step: OpenedStep(
+                self, item.state.step, item.groups, item.max_tokens, item.state
+            )
+            for item in saved.unrecorded
+        }
         self._settled_s = time.monotonic()
         self.duplicates = 0
         self.too_stale = 0
@@ -107,7 +112,10 @@
         """Return what has to be saved with the trainer's own state."""
         with self._lock:
             steps = tuple(item.checkpoint() for item in self._open.values())
-            return TrainerCheckpoint(self._newest_version, steps)
+            unrecorded = tuple(
+                item.closed_checkpoint() for item in self._unrecorded.values()
+            )
+            return TrainerCheckpoint(self._newest_version, steps, unrecorded)
 
     def settle(self, bound_s: float = 0.0) -> bool:
         """Make sure that the receipts of closed steps are in the record.
@@ -193,6 +201,10 @@
         """Return the step's state; samples not yet taken are not in it."""
         return StepCheckpoint(self._step, self._opened_unix_s, self._receipts.all())
 
+    def closed_checkpoint(self) -> ClosedStepCheckpoint:
+        """Return what it takes to have a closed step recorded."""
+        return ClosedStepCheckpoint(self.checkpoint(), self._groups, self._max_tokens)
+
     def reopen(self) -> None:
         """Open the step at whichever node owns it now, with all receipts."""
         receipts = self._receipts.all()
