What another writer leaves in the store is read or refused, kind by kind

Cause: an object without a name, or bytes that are no JSON, ended the task of a copy with KeyError, and the node went on with a list that nobody updated; an entry with an unknown state, without slots, with a port out of range was used; one that was good and could no longer be read stayed in use; a listing without address ended whatever asked for homes. Change: every decoder returns a typed object or a refusal of bounded length; a page without sense is a failed call (paid once a second, a line, a counter); nameless objects are passed over, in a watch the list is read anew; instances whose entry can't be read get no new requests, and what has announced its leaving stays out; an unreadable batch of results stops its job's readers with 503 instead of shifting positions; a taker that raises loses that object only. Fixtures that listed instances with half of their fields now list all that the pages name (standins/_instance_entry.py); no assert changed. Ruled out: reading such an entry as its earlier reading (another may have been written on purpose).

--- a/pistachioglade/backing/_object_api.py
+++ b/pistachioglade/backing/_object_api.py
@@ -14,6 +14,7 @@
     create_call,
     decode_changes,
     decode_entry,
+    decode_json,
     decode_page,
     list_call,
     read_call,
@@ -53,7 +54,7 @@
         reply = self._call(read_call(*_split(path)))
         if isinstance(reply, Refusal):
             return reply
-        return _stored(path, decode_entry(reply.json()))
+        return _read(path, reply)
 
     def list(self, prefix: str) -> tuple[StoredObject, ...] | Refusal:
         """Read every object below a prefix."""
@@ -65,6 +66,8 @@
             if isinstance(reply, Refusal):
                 return reply
             page = decode_page(reply.body)
+            if isinstance(page, Refusal):
+                return page
             found.extend(
                 _stored(f"{kind}/{entry.name}", entry)
                 for entry in page.entries
@@ -88,7 +91,8 @@
         reply = self._call(call)
         if isinstance(reply, Refusal):
             return reply
-        return decode_entry(reply.json()).revision
+        stored = _read(path, reply)
+        return stored if isinstance(stored, Refusal) else stored.version
 
     def watch(
         self, path: str, after_version: int, wait_s: float
@@ -103,9 +107,12 @@
             found = self.get(path)
             is_new = isinstance(found, Refusal) or found.version > after_version
             return found if is_new else None
+        told = decode_changes(reply.body)
+        if isinstance(told, Refusal):
+            return told
         entries = [
             change.entry
-            for change in decode_changes(reply.body).changes
+            for change in told.changes
             if change.entry.name == name and not change.is_removed
         ]
         return _stored(path, entries[-1]) if entries else None
@@ -129,6 +136,12 @@
     return kind, name or ("" if path.endswith("/") else kind)
 
 
+def _read(path: str, reply: HttpReply) -> StoredObject | Refusal:
+    fields = decode_json(reply.body)
+    read = fields if isinstance(fields, Refusal) else decode_entry(fields)
+    return read if isinstance(read, Refusal) else _stored(path, read)
+
+
 def _stored(path: str, entry: Entry) -> StoredObject:
     return StoredObject(path, entry.revision, entry.value)
 
--- a/pistachioglade/errors/_kinds.py
+++ b/pistachioglade/errors/_kinds.py
@@ -40,6 +40,7 @@
     PLATFORM_UNAVAILABLE = "platform-unavailable"
     PLATFORM_UNCERTAIN = "platform-uncertain"
     HISTORY_GONE = "history-gone"
+    UNREADABLE = "unreadable"
     UPSTREAM_REJECTED = "upstream-rejected"
     UPSTREAM_LOST = "upstream-lost"
     ANSWER_TRUNCATED = "answer-truncated"
@@ -90,6 +91,7 @@
         ErrorKind.PLATFORM_UNAVAILABLE: Answer(503, _NOT_RUN, 5.0),
         ErrorKind.PLATFORM_UNCERTAIN: Answer(503, _UNKNOWN, 5.0),
         ErrorKind.HISTORY_GONE: Answer(503, _NOT_RUN, 1.0),
+        ErrorKind.UNREADABLE: Answer(503, _NOT_RUN, 1.0),
         ErrorKind.UPSTREAM_REJECTED: Answer(502, Execution.RAN, None),
         ErrorKind.UPSTREAM_LOST: Answer(502, _UNKNOWN, 1.0),
         ErrorKind.ANSWER_TRUNCATED: Answer(502, _UNKNOWN, 1.0),
--- a/pistachioglade/forwarding/_fleet_view.py
+++ b/pistachioglade/forwarding/_fleet_view.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable, Iterator
 
+import attrs
+
 from ..decisions import (
     FULL_POLICY,
     InstanceRecord,
@@ -34,6 +36,8 @@
         # Instances that left the list around an outage, and stay in use for a moment,
         # with when they left it.
         self._lapsed: dict[str, float] = {}
+        # Instances whose entries can't be read; they get no new requests.
+        self._unreadable: set[str] = set()
         # The configuration in force; None before the first.
         self.configuration: Configuration | None = None
         # Instances by id.
@@ -70,9 +74,16 @@
         read = decode_instance(entry.name, entry.value)
         if isinstance(read, Refusal):
             self._log.error("instance-refused", reason=read.reason)
+            if entry.name in self.instances:
+                self._unreadable.add(entry.name)
+                self._changed()
             return
         self._lapsed.pop(read.id, None)
+        self._unreadable.discard(read.id)
         known = self.instances.get(read.id)
+        if known is not None and known.is_leaving:
+            # What has announced its leaving stays out, whatever an entry says later.
+            read = attrs.evolve(read, is_leaving=True)
         self.instances[read.id] = read
         if known is None:
             self._log.info("instance-listed", instance=read.id, upstream=read.upstream)
@@ -91,8 +102,8 @@
         if instance_id not in self.instances:
             return
         outage_age_s = self._outage_age_s()
-        is_leaving = self.instances[instance_id].is_leaving
-        if may_have_lapsed(outage_age_s) and not is_leaving:
+        is_open = self._is_open(self.instances[instance_id])
+        if may_have_lapsed(outage_age_s) and is_open:
             self._lapsed.setdefault(instance_id, self._now_s())
             self._log.info(
                 "instance-lapsed",
@@ -110,6 +121,7 @@
 
     def _forget(self, instance_id: str) -> None:
         now_s = self._now_s()
+        self._unreadable.discard(instance_id)
         self._log.info(
             "instance-gone",
             instance=instance_id,
@@ -139,7 +151,7 @@
         Lapsed ones don't wait for the next housekeeping: its 0.25 s would pass the 3 s
         behind a cut.
         """
-        if instance.is_leaving:
+        if instance.is_leaving or instance.id in self._unreadable:
             return False
         return instance.id not in self._lapsed or may_have_lapsed(self._outage_age_s())
 
--- a/pistachioglade/forwarding/tests/test_fleet_view.py
+++ b/pistachioglade/forwarding/tests/test_fleet_view.py
@@ -6,10 +6,11 @@
 
 from ...decisions import StoreOutage
 from ...platform import Entry
+from ...standins._instance_entry import instance_entry
 from ...store.tests.served import run
 from .. import FleetView
 
-_ENTRY = Entry("i-1", 1, {"service": "lm", "address": "127.0.0.1:9", "slots": 2}, None)
+_ENTRY = Entry("i-1", 1, instance_entry("lm", slots=2), None)
 
 
 @pytest.mark.parametrize(
@@ -59,3 +60,36 @@
         assert view.longest_lapse_s == 0.0
 
     run(work)
+
+
+@pytest.mark.parametrize(
+    ("states", "is_open"),
+    [
+        (["ready", "resting"], False),
+        (["ready", None], False),
+        (["ready", "resting", "ready"], True),
+        (["resting", "ready"], True),
+        (["ready", "draining"], False),
+        # What is known to leave stays out, whoever wrote the later entries.
+        (["ready", "draining", "resting"], False),
+        (["ready", "draining", "ready"], False),
+        (["ready", "draining", "resting", "ready"], False),
+    ],
+)
+def test_entries_that_another_writer_left(
+    states: list[str | None], is_open: bool
+) -> None:
+    async def work() -> None:
+        view = FleetView(lambda: None)
+        other = instance_entry("lm")
+        view.take_instance(Entry("i-2", 1, other, None), False)
+        for revision, state in enumerate(states, 2):
+            value = instance_entry("lm", state=state)
+            view.take_instance(Entry("i-1", revision, value, None), False)
+        assert view.may_send_to("i-1") is is_open
+        assert view.may_send_to("i-2")
+        assert ("i-1" in {item.id for item in view.open_instances("lm")}) is is_open
+        view.take_instance(Entry("i-1", 9, None, None), True)
+        assert not view.may_send_to("i-1")
+
+    run(work)
--- a/pistachioglade/jobs/_ledger.py
+++ b/pistachioglade/jobs/_ledger.py
@@ -18,6 +18,7 @@
     RecordKind,
     RecordName,
     Submission,
+    decode_owner_change,
     decode_submission,
     parse_name,
 )
@@ -160,6 +161,29 @@
             waiter.set_result(None)
 
 
+def _submit(state: JobState, value: Any) -> Refusal | None:
+    read = decode_submission(value)
+    if isinstance(read, Refusal):
+        return read
+    if state.submission is None:
+        state.first_seen_s = asyncio.get_running_loop().time()
+    state.submission = read
+    state.owner = state.owner or read.owner
+    return None
+
+
+def _pass_on(state: JobState, entry: Entry) -> Refusal | None:
+    change = decode_owner_change(entry.value)
+    if isinstance(change, Refusal):
+        return change
+    state.earlier_owner = change.earlier
+    state.is_earlier_alive = change.is_alive
+    state.owner = change.owner
+    state.owner_revision = entry.revision
+    state.passed_on()
+    return None
+
+
 class JobLedger:
     """Builds the jobs from the objects of the store."""
 
@@ -185,10 +209,11 @@
             self._removed(name)
             return
         state = self.jobs.setdefault(name.job_id, JobState(name.job_id))
-        try:
-            self._apply(state, name, entry)
-        except (KeyError, TypeError, ValueError) as error:
-            self._log.error("job-record-unreadable", name=entry.name, reason=str(error))
+        refusal = self._apply(state, name, entry)
+        if refusal is not None:
+            self._log.error(
+                "job-record-unreadable", name=entry.name, reason=refusal.reason
+            )
             return
         for callback in self.on_change:
             callback(state)
@@ -197,25 +222,19 @@
         if name.kind is RecordKind.SUBMISSION:
             self.jobs.pop(name.job_id, None)
 
-    def _apply(self, state: JobState, name: RecordName, entry: Entry) -> None:
+    def _apply(self, state: JobState, name: RecordName, entry: Entry) -> Refusal | None:
+        """Put a record in force; what can't be read changes nothing."""
         match name.kind:
             case RecordKind.SUBMISSION:
-                if state.submission is None:
-                    state.first_seen_s = asyncio.get_running_loop().time()
-                if not state.is_whole:
-                    state.submission = decode_submission(entry.value)
-                    state.owner = state.owner or state.submission.owner
+                return None if state.is_whole else _submit(state, entry.value)
             case RecordKind.OWNER:
                 if entry.revision > state.owner_revision:
-                    state.earlier_owner = entry.value["earlier"]
-                    state.is_earlier_alive = entry.value["is_alive"]
-                    state.owner = entry.value["owner"]
-                    state.owner_revision = entry.revision
-                    state.passed_on()
+                    return _pass_on(state, entry)
             case RecordKind.END:
                 state.is_ended = True
             case RecordKind.BATCH:
                 self._log.error("job-record-misplaced", name=entry.name)
+        return None
 
     def add_batch(self, state: JobState, number: int, batch: BatchRecord) -> None:
         """Take a batch of results that the store has."""
--- a/pistachioglade/jobs/_reader.py
+++ b/pistachioglade/jobs/_reader.py
@@ -137,7 +137,12 @@
             stored = await self._store.read(RESULT_KIND, name)
             if isinstance(stored, Refusal):
                 return None if stored.kind is ErrorKind.NOT_FOUND else stored
-            self._ledger.add_batch(state, number, decode_batch(stored.value))
+            batch = decode_batch(stored.value)
+            if isinstance(batch, Refusal):
+                # It may hold results that a reader has seen: no other may stand there.
+                self._log.error("results-unreadable", batch=name, reason=batch.reason)
+                return batch
+            self._ledger.add_batch(state, number, batch)
         return None
 
     async def complete(self, state: JobState) -> Refusal | None:
@@ -146,7 +151,7 @@
         assert submission is not None
         if submission.is_whole or await self._complete_from_node(state):
             return None
-        texts: list[str] = []
+        texts: list[Any] = []
         # One after the other: together they would fill a small link for longer than
         # a call to the store may take.
         for number in range(submission.part_count):
@@ -154,10 +159,10 @@
             stored = await self._store.read(RESULT_KIND, name)
             if isinstance(stored, Refusal):
                 return stored
-            texts.append(stored.value["text"])
+            texts.append(stored.value)
         try:
-            fields = joined_fields(submission, texts)
-        except (TypeError, ValueError) as error:
+            fields = joined_fields(submission, [value["text"] for value in texts])
+        except (KeyError, TypeError, ValueError) as error:
             self._log.error("job-parts-unreadable", job=state.id, reason=str(error))
             return refuse(ErrorKind.INTERNAL, f"{state.id}: {error}")
         if not state.is_whole:
--- a/pistachioglade/jobs/_records.py
+++ b/pistachioglade/jobs/_records.py
@@ -33,7 +33,9 @@
 
 import attrs
 
+from ..errors import ErrorKind, Refusal, refuse
 from ..messages import BatchRecord
+from ..platform import is_whole
 
 #: Kind of submissions, owners and ends.
 JOB_KIND: Final = "pistachioglade-jobs"
@@ -191,9 +193,21 @@
     return attrs.asdict(submission, recurse=False)
 
 
-def decode_submission(value: Mapping[str, Any]) -> Submission:
-    """Return the submission in an object's value."""
-    return Submission(**value)
+def decode_submission(value: Any) -> Submission | Refusal:
+    """Return the submission in an object's value, or why there is none."""
+    try:
+        read = Submission(**value)
+    except TypeError as error:
+        return _unreadable("submission", error)
+    texts = (read.owner, read.boot, read.host, read.path, read.model, read.digest)
+    numbers = (read.total, read.part_count)
+    is_sound = (
+        all(isinstance(text, str) for text in texts)
+        and isinstance(read.accepted_s, int | float)
+        and all(map(is_whole, numbers))
+        and isinstance(read.fields, Mapping)
+    )
+    return read if is_sound else _unreadable("submission", "a field of another type")
 
 
 def encode_batch(batch: BatchRecord) -> dict[str, Any]:
@@ -201,11 +215,49 @@
     return attrs.asdict(batch, recurse=False)
 
 
-def decode_batch(value: Mapping[str, Any]) -> BatchRecord:
-    """Return the batch in an object's value."""
-    return BatchRecord(
-        value["writer"],
-        value["start"],
-        tuple(value["results"]),
-        tuple(value["item_ids"]),
-    )
+def decode_batch(value: Any) -> BatchRecord | Refusal:
+    """Return the batch in an object's value, or why there is none."""
+    try:
+        batch = BatchRecord(
+            value["writer"],
+            value["start"],
+            tuple(value["results"]),
+            tuple(value["item_ids"]),
+        )
+    except (IndexError, KeyError, TypeError) as error:
+        return _unreadable("batch", error)
+    texts = (batch.writer, *batch.results, *batch.item_ids)
+    if not is_whole(batch.start) or not all(isinstance(text, str) for text in texts):
+        return _unreadable("batch", "a field of another type")
+    return batch
+
+
+@attrs.frozen
+class OwnerChange:
+    """Who runs a job now."""
+
+    # The entry that runs it.
+    owner: str
+    # The entry that ran it before.
+    earlier: str
+    # Whether that one lived when the job passed on.
+    is_alive: bool
+
+
+def decode_owner_change(value: Any) -> OwnerChange | Refusal:
+    """Return the change in an object's value, or why there is none."""
+    try:
+        change = OwnerChange(value["owner"], value["earlier"], value["is_alive"])
+    except (IndexError, KeyError, TypeError) as error:
+        return _unreadable("owner", error)
+    names = (change.owner, change.earlier)
+    if not all(isinstance(name, str) for name in names):
+        return _unreadable("owner", "a name of another type")
+    if not isinstance(change.is_alive, bool):
+        return _unreadable("owner", "is_alive of another type")
+    return change
+
+
+def _unreadable(what: str, why: object) -> Refusal:
+    """Return a refusal of bounded length, whatever an object holds."""
+    return refuse(ErrorKind.UNREADABLE, f"{what}: {why!s:.120}")
--- a/pistachioglade/jobs/_result_writer.py
+++ b/pistachioglade/jobs/_result_writer.py
@@ -129,6 +129,9 @@
             if isinstance(stored, Refusal):
                 continue
             in_force = decode_batch(stored.value)
+            if isinstance(in_force, Refusal):
+                await self._meet_unreadable(name, in_force)
+                continue
             self._ledger.add_batch(state, number, in_force)
             if in_force.writer == batch.writer:
                 return
@@ -200,6 +203,9 @@
             )
             if isinstance(stored, Entry):
                 in_force = decode_batch(stored.value)
+                if isinstance(in_force, Refusal):
+                    await self._meet_unreadable(name, in_force)
+                    continue
                 is_own = in_force.writer in tried
                 self._took(number, in_force, is_own, finished[0].finished_s)
                 return
@@ -213,6 +219,15 @@
             is_refused = stored.kind is ErrorKind.BAD_REQUEST
             await asyncio.sleep(_REFUSED_PAUSE_S if is_refused else _AGAIN_PAUSE_S)
 
+    async def _meet_unreadable(self, name: str, refusal: Refusal) -> None:
+        """Wait at a position that another writer has spoilt.
+
+        Listing behind it would show readers results at other positions than those that
+        it may have held.
+        """
+        self._log.error("results-unreadable", batch=name, reason=refusal.reason)
+        await asyncio.sleep(_REFUSED_PAUSE_S)
+
     def _took(
         self, number: int, in_force: BatchRecord, is_own: bool, oldest_s: float
     ) -> None:
--- a/pistachioglade/jobs/_text_saver.py
+++ b/pistachioglade/jobs/_text_saver.py
@@ -116,6 +116,14 @@
 async def saved_texts(store: StoreClient, node: str, job_id: str) -> SampleTexts:
     """Return the texts of a job that a node has saved last; nothing if none."""
     stored = await store.read(TEXT_KIND, node)
-    if isinstance(stored, Refusal) or job_id not in (stored.value or {}):
+    if isinstance(stored, Refusal) or not isinstance(stored.value, Mapping):
+        return SampleTexts(())
+    if job_id not in stored.value:
+        return SampleTexts(())
+    try:
+        return structure(stored.value[job_id], SampleTexts)
+    except Exception as error:  # cattrs groups errors of any type
+        # Texts only save work: the samples are made anew.
+        reason = f"{type(error).__name__} {error!s:.120}"
+        logger(__name__).error("texts-unreadable", holder=node, reason=reason)
         return SampleTexts(())
-    return structure(stored.value[job_id], SampleTexts)
--- a/pistachioglade/jobs/tests/test_frames.py
+++ b/pistachioglade/jobs/tests/test_frames.py
@@ -114,6 +114,7 @@
     sent = Submission("a@h:1", "b", "h", "/", 0.0, _fields(), "m", _ITEMS)
     kept, _parts = split_submission("job", sent, _OBJECT_BYTES)
     earlier = decode_submission(encode_submission(kept) | {"owner": "c@h:3"})
+    assert isinstance(earlier, Submission)
     again = Submission("a@h:1", "b", "h", "/", 0.0, _fields(), digest=kept.digest)
     whole = rejoined(earlier, again)
     assert whole.owner == "c@h:3"
--- a/pistachioglade/jobs/tests/test_result_writer.py
+++ b/pistachioglade/jobs/tests/test_result_writer.py
@@ -60,7 +60,9 @@
         stored = await store.client().read(RESULT_KIND, name)
         if isinstance(stored, Refusal):
             return found
-        found.append(decode_batch(stored.value).item_ids)
+        batch = decode_batch(stored.value)
+        assert not isinstance(batch, Refusal)
+        found.append(batch.item_ids)
 
 
 async def _finish_three(store: ServedStore, writer: ResultWriter) -> None:
--- a/pistachioglade/jobs/tests/test_scheduler.py
+++ b/pistachioglade/jobs/tests/test_scheduler.py
@@ -10,6 +10,7 @@
 from ...forwarding import FleetView, Forwarder
 from ...metrics import Metrics
 from ...platform import Entry
+from ...standins._instance_entry import instance_entry
 from ...store import StoreClient
 from ...store.tests.served import run
 from .. import JobLedger, Submission, encode_submission
@@ -35,8 +36,7 @@
 
 def _entry(name: str) -> Entry:
     models = [{"name": "m", "version": 1}]
-    fields = {"service": "lm", "address": "127.0.0.1:9", "slots": 2, "models": models}
-    return Entry(name, 1, fields, None)
+    return Entry(name, 1, instance_entry("lm", slots=2, models=models), None)
 
 
 def _run_of(ledger: JobLedger, items: int) -> JobRun:
--- a/pistachioglade/metrics/_metrics.py
+++ b/pistachioglade/metrics/_metrics.py
@@ -82,6 +82,17 @@
             registry=self._registry,
         )
 
+        self._unreadable = Counter(
+            "pistachioglade_unreadable",
+            "Answers and objects of the store that could not be read, by kind.",
+            ("kind",),
+            registry=self._registry,
+        )
+
+    def unreadable(self, kind: str) -> None:
+        """Count an answer or an object of the store that could not be read."""
+        self._unreadable.labels(kind).inc()
+
     def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Expose a value that is read when it is asked for."""
         Gauge(name, text, registry=self._registry).set_function(read)
--- a/pistachioglade/platform/_configuration.py
+++ b/pistachioglade/platform/_configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from ipaddress import IPv4Address
 from types import MappingProxyType
 from typing import Any, Final
 
@@ -16,6 +17,7 @@
     Share,
     Upstream,
 )
+from ._objects import is_whole
 
 _KINDS: Final = MappingProxyType(
     {
@@ -27,6 +29,23 @@
     }
 )
 
+#: What the states of an instance say of its leaving.
+_IS_LEAVING: Final = MappingProxyType({"ready": False, "draining": True})
+#: Most slots of an instance: a thousand times what the largest one has.
+_MOST_SLOTS: Final = 10_000
+#: Longest text of a field that is read: names and addresses have under 60 characters.
+_MOST_CHARS: Final = 512
+_LAST_PORT: Final = 65_535
+#: What reading fields of unknown shape may raise.
+_NO_FIELDS: Final = (
+    AttributeError,
+    KeyError,
+    IndexError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
+
 #: Limits for callers where a configuration names none; those of the pages' examples.
 DEFAULT_LIMITS: Final = CallerLimits(16384, 32 * 1024 * 1024, 3.0, 15.0)
 
@@ -41,19 +60,20 @@
             upstreams={item.name: item for item in upstreams},
             limits=_limits(fields.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError) as error:
-        reason = f"configuration: {type(error).__name__} {error}"
-        return refuse(ErrorKind.BAD_REQUEST, reason)
+    except _NO_FIELDS as error:
+        return _refused("configuration", error)
 
 
 def _route(fields: Mapping[str, Any]) -> Route:
     split = fields.get("split") or ({"service": fields["service"], "weight": 1},)
     return Route(
-        name=fields["name"],
-        host=fields["host"],
-        prefix=fields["path-prefix"],
+        name=_text(fields, "name"),
+        host=_text(fields, "host"),
+        prefix=_text(fields, "path-prefix"),
         kind=_KINDS[fields["type"]],
-        shares=tuple(Share(item["service"], float(item["weight"])) for item in split),
+        shares=tuple(
+            Share(_text(item, "service"), float(item["weight"])) for item in split
+        ),
         timeout_s=_seconds(fields, "timeout-ms", 10.0),
         aim_s=_seconds(fields, "target-latency-ms", 1.0),
         max_attempts=max(1, int(fields.get("max-attempts", 1))),
@@ -81,7 +101,7 @@
     # "engine-id" holds the limits of a model engine, not an id.
     engine = fields.get("engine-id") or {}
     return Upstream(
-        name=fields["name"],
+        name=_text(fields, "name"),
         health_path=fields.get("health-path", "/"),
         max_connections=int(fields.get("max-connections", 64)),
         models=tuple(item["name"] for item in engine.get("models", ())),
@@ -99,30 +119,74 @@
     )
 
 
-def decode_instance(name: str, fields: Mapping[str, Any]) -> Instance | Refusal:
-    """Return an entry of the list of instances, or what is wrong with it."""
+def decode_instance(name: str, fields: Any) -> Instance | Refusal:
+    """Return an entry of the list of instances, or what is wrong with it.
+
+    Anybody may have written it: one that lacks a field that all have, or has one of
+    another type or an unknown state, names no instance.
+    """
     try:
-        host, _, port = fields["address"].rpartition(":")
-        models = fields.get("models") or ()
+        address = _address(_text(fields, "address"))
+        for field in ("version", "zone"):
+            _text(fields, field)
+        for field in ("cold-remaining-ms", "sequence"):
+            _number(fields, field)
         return Instance(
             id=name,
-            upstream=fields["service"],
-            host=host,
-            port=int(port),
-            domain=fields.get("zone", ""),
-            slots=max(1, int(fields.get("slots", 1))),
-            is_leaving=fields.get("state") == "draining",
-            versions={item["name"]: int(item["version"]) for item in models},
+            upstream=_text(fields, "service"),
+            host=address[0],
+            port=address[1],
+            domain=fields["zone"],
+            slots=_whole(fields, "slots", 1, _MOST_SLOTS),
+            is_leaving=_IS_LEAVING[fields["state"]],
+            versions=_versions(fields.get("models") or ()),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        reason = f"instance {name}: {type(error).__name__} {error}"
-        return refuse(ErrorKind.BAD_REQUEST, reason)
+    except _NO_FIELDS as error:
+        return _refused(f"instance {name:.80}", error)
+
 
+def _versions(models: Any) -> dict[str, int]:
+    return {_text(item, "name"): _whole(item, "version") for item in models}
 
-def decode_version(fields: Mapping[str, Any]) -> tuple[str, int] | Refusal:
+
+def decode_version(fields: Any) -> tuple[str, int] | Refusal:
     """Return the model and the weight version that its trainer has named."""
     try:
-        return fields["model"], int(fields["version"])
-    except (KeyError, TypeError, ValueError) as error:
-        reason = f"weight version: {type(error).__name__} {error}"
-        return refuse(ErrorKind.BAD_REQUEST, reason)
+        return _text(fields, "model"), _whole(fields, "version", 1)
+    except _NO_FIELDS as error:
+        return _refused("weight version", error)
+
+
+def _refused(what: str, error: Exception) -> Refusal:
+    """Return a refusal whose reason is bounded, whatever the fields hold."""
+    reason = f"{what}: {type(error).__name__} {error!s:.120}"
+    return refuse(ErrorKind.UNREADABLE, reason)
+
+
+def _text(fields: Any, name: str) -> str:
+    value = fields[name]
+    if not isinstance(value, str) or not 0 < len(value) <= _MOST_CHARS:
+        raise ValueError(f"{name} is no text of 1 to {_MOST_CHARS} characters")
+    return value
+
+
+def _number(fields: Any, name: str) -> float:
+    value = fields[name]
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"{name} is no number")
+    return value
+
+
+def _whole(fields: Any, name: str, least: int = 0, most: int = 2**53) -> int:
+    value = fields[name]
+    if not is_whole(value) or not least <= value <= most:
+        raise ValueError(f"{name} is no whole number from {least} to {most}")
+    return int(value)
+
+
+def _address(text: str) -> tuple[str, int]:
+    """Return the host and port of an address; ValueError if it names none."""
+    host, _, port = text.rpartition(":")
+    if not port.isdecimal() or not 0 < int(port) <= _LAST_PORT:
+        raise ValueError(f"no port in {text!a}")
+    return str(IPv4Address(host)), int(port)
--- a/pistachioglade/platform/_objects.py
+++ b/pistachioglade/platform/_objects.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import Any, Final
+from typing import Any, Final, TypeGuard, cast
 from urllib.parse import quote
 
 import attrs
@@ -12,6 +12,11 @@
 from ..http1 import Response
 
 _ROOT: Final = "/v1/objects"
+#: Longest name of an object that is read: the longest of ours has under 80 characters,
+#: and a path of a megabyte would be refused.
+_MAX_NAME_CHARS: Final = 512
+#: Digits of the largest number that is read: revisions and milliseconds have under 16.
+_MAX_DIGITS: Final = 18
 
 
 @attrs.frozen
@@ -38,6 +43,8 @@
     has_more: bool
     # Revision of the store that the page shows.
     revision: int
+    # How many of its objects can't even be named.
+    nameless: int = 0
 
 
 @attrs.frozen
@@ -58,6 +65,8 @@
     changes: tuple[EntryChange, ...]
     # Revision from which to watch on.
     revision: int
+    # How many of them are of objects that can't even be named.
+    nameless: int = 0
 
 
 @attrs.frozen
@@ -127,32 +136,97 @@
     return StoreCall("DELETE", _path(kind, name) + query)
 
 
-def decode_entry(fields: Any) -> Entry:
-    """Return the object in a call's answer."""
-    metadata = fields["metadata"]
+def decode_entry(fields: Any, revision: int = 0) -> Entry | Refusal:
+    """Return an object as anybody may have written it; its value may be anything.
+
+    ``revision`` is that of the answer, for an object that tells none of its own.
+    """
+    metadata = fields.get("metadata") if isinstance(fields, dict) else None
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    if not isinstance(metadata, dict) or not isinstance(name, str) or not name:
+        return refuse(ErrorKind.UNREADABLE, "an object without a name")
+    if len(name) > _MAX_NAME_CHARS or not _is_text(name):
+        reason = f"a name of {len(name)} characters: {name[:40]!a}"
+        return refuse(ErrorKind.UNREADABLE, reason)
+    own = metadata.get("revision")
     return Entry(
-        metadata["name"],
-        int(metadata.get("revision", 0)),
+        name,
+        own if is_whole(own) else revision,
         fields.get("specification"),
         fields.get("status"),
     )
 
 
-def decode_page(body: bytes) -> EntryPage:
+def _is_text(value: str) -> bool:
+    """Whether a string can be written: JSON can hold halves of characters."""
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def is_whole(value: Any) -> TypeGuard[int]:
+    """Whether a value of JSON is a whole number."""
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def decode_json(body: bytes) -> Any | Refusal:
+    """Return the value of a body; bytes that are no text spoil only their own string.
+
+    Numbers that no field holds become infinite.
+    """
+    try:
+        text = body.decode("utf-8", "replace")
+        return json.loads(text, parse_int=_bounded_int)
+    except (ValueError, RecursionError) as error:
+        reason = f"no JSON: {type(error).__name__} {error!s:.80}"
+        return refuse(ErrorKind.UNREADABLE, reason)
+
+
+def _bounded_int(text: str) -> int | float:
+    return int(text) if len(text) <= _MAX_DIGITS else float("inf")
+
+
+def _told(body: bytes, items: str) -> dict[str, Any] | Refusal:
+    """Return a list's or watch's fields, if it is one."""
+    fields = decode_json(body)
+    if isinstance(fields, Refusal):
+        return fields
+    is_told = isinstance(fields, dict) and is_whole(fields.get("at"))
+    if not is_told or not isinstance(fields.get(items), list):
+        return refuse(ErrorKind.UNREADABLE, f"an answer without {items} or revision")
+    return cast(dict[str, Any], fields)
+
+
+def decode_page(body: bytes) -> EntryPage | Refusal:
     """Return a page of a list."""
-    fields = json.loads(body)
-    entries = tuple(decode_entry(item) for item in fields["items"])
-    return EntryPage(entries, bool(fields["has-more"]), int(fields["at"]))
+    fields = _told(body, "items")
+    if isinstance(fields, Refusal):
+        return fields
+    read = [decode_entry(item, fields["at"]) for item in fields["items"]]
+    entries = tuple(item for item in read if isinstance(item, Entry))
+    nameless = len(read) - len(entries)
+    return EntryPage(entries, bool(fields.get("has-more")), fields["at"], nameless)
 
 
-def decode_changes(body: bytes) -> EntryChanges:
+def decode_changes(body: bytes) -> EntryChanges | Refusal:
     """Return what a watch tells."""
-    fields = json.loads(body)
-    changes = tuple(
-        EntryChange(decode_entry(item["object"]), bool(item.get("deleted")))
-        for item in fields["events"]
-    )
-    return EntryChanges(changes, int(fields["at"]))
+    fields = _told(body, "events")
+    if isinstance(fields, Refusal):
+        return fields
+    read = [_change(item, fields["at"]) for item in fields["events"]]
+    changes = tuple(item for item in read if isinstance(item, EntryChange))
+    return EntryChanges(changes, fields["at"], len(read) - len(changes))
+
+
+def _change(fields: Any, revision: int) -> EntryChange | Refusal:
+    if not isinstance(fields, dict):
+        return refuse(ErrorKind.UNREADABLE, "an event that is no object")
+    entry = decode_entry(fields.get("object"), revision)
+    if isinstance(entry, Refusal):
+        return entry
+    return EntryChange(entry, bool(fields.get("deleted")))
 
 
 def refusal_of(answer: Response, is_write: bool) -> Refusal | None:
--- a/pistachioglade/platform/tests/test_adapter.py
+++ b/pistachioglade/platform/tests/test_adapter.py
@@ -11,6 +11,7 @@
 from ...errors import ErrorKind, Refusal
 from ...fleet import RouteKind, choose_upstream, find_route
 from ...http1 import Response, ResponseHead
+from ...standins._instance_entry import instance_entry
 from .. import (
     ProcessSettings,
     belongs_to,
@@ -154,9 +155,9 @@
 
 
 def test_an_instance() -> None:
-    fields = {"service": "lm", "address": "10.0.0.1:80", "state": "draining"}
     models = [{"name": "m", "version": 4, "adapters": []}]
-    read = decode_instance("i-1", fields | {"slots": 8, "models": models})
+    fields = instance_entry("lm", "10.0.0.1:80", state="draining", models=models)
+    read = decode_instance("i-1", fields)
     assert not isinstance(read, Refusal)
     assert (read.host, read.port, read.is_leaving) == ("10.0.0.1", 80, True)
     assert read.versions == {"m": 4}
--- a/pistachioglade/serving/_job_calls.py
+++ b/pistachioglade/serving/_job_calls.py
@@ -136,7 +136,10 @@
         )
         if not isinstance(stored, Refusal):
             sent = attrs.evolve(submission, digest=kept.digest)
-            whole = rejoined(decode_submission(stored.value), sent)
+            in_force = decode_submission(stored.value)
+            if isinstance(in_force, Refusal):
+                return in_force
+            whole = rejoined(in_force, sent)
             return attrs.evolve(stored, value=encode_submission(whole))
         is_known = stored.kind is ErrorKind.PLATFORM_UNAVAILABLE
         return _come_again(stored) if is_known else stored
--- a/pistachioglade/serving/_members.py
+++ b/pistachioglade/serving/_members.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Final
+from collections.abc import Mapping
+from typing import Any, Final
+
+import attrs
 
 from ..decisions import FULL_POLICY, Mechanism, Policy, home_key, home_of
-from ..errors import ErrorKind
+from ..errors import ErrorKind, Refusal, refuse
 from ..forwarding import FleetView
 from ..logs import logger
 from ..platform import Entry
@@ -24,6 +27,27 @@
 _UNREACHED_S: Final = 3.0
 
 
+@attrs.frozen
+class Listing:
+    """What an entry lists of itself."""
+
+    # Address of its links.
+    address: str
+    # What it can bear, against other entries.
+    capacity: float
+
+
+def decode_listing(value: Any) -> Listing | Refusal:
+    """Return the listing in an object's value, or why there is none."""
+    fields = value if isinstance(value, Mapping) else {}
+    address, capacity = fields.get("address"), fields.get("capacity")
+    is_number = isinstance(capacity, int | float) and not isinstance(capacity, bool)
+    if not isinstance(address, str) or not address or not is_number:
+        return refuse(ErrorKind.UNREADABLE, "a listing without address or capacity")
+    assert isinstance(capacity, int | float)
+    return Listing(address, float(capacity))
+
+
 class Members:
     """Lists this entry, knows the others and chooses homes among them."""
 
@@ -47,6 +71,8 @@
         self._view = view
         self._log = logger(__name__)
         self._unreached_until_s: dict[str, float] = {}
+        # Entries by node, as far as their listings can be read.
+        self._listings: dict[str, Listing] = {}
         # Revisions of listings that are gone, though the list here may still show them.
         self._struck: dict[str, int] = {}
         # Entries by node, as the store lists them.
@@ -65,6 +91,14 @@
         self._mine = {**self._mine, "capacity": capacity}
 
     def _changed(self, entry: Entry, is_removed: bool) -> None:
+        read = None if is_removed else decode_listing(entry.value)
+        if isinstance(read, Refusal):
+            self._log.error("entry-refused", entry=entry.name, reason=read.reason)
+            read = None
+        if read is None:
+            self._listings.pop(entry.name, None)
+        else:
+            self._listings[entry.name] = read
         self._log.info("entry-gone" if is_removed else "entry-listed", entry=entry.name)
 
     async def enrol(self) -> None:
@@ -101,7 +135,7 @@
     @property
     def names(self) -> tuple[str, ...]:
         """The nodes on the list."""
-        return tuple(self.mirror.entries)
+        return tuple(self._listings)
 
     @property
     def owner_names(self) -> set[str]:
@@ -110,8 +144,8 @@
 
     def address_of_node(self, node: str) -> str:
         """Return the address of an entry; empty if it isn't listed."""
-        entry = self.mirror.entries.get(node)
-        return "" if entry is None else entry.value["address"]
+        listing = self._listings.get(node)
+        return "" if listing is None else listing.address
 
     def note_unreached(self, node: str) -> None:
         """Give an entry that didn't answer no new jobs for a while."""
@@ -131,8 +165,8 @@
         if not self._has_homes:
             return self.own_name
         capacities = {
-            name: float(entry.value["capacity"])
-            for name, entry in self.mirror.entries.items()
+            name: listing.capacity
+            for name, listing in self._listings.items()
             if self._is_reached(name) and not (self.is_leaving and name == self.node)
         }
         engines = sum(1 for _ in self._view.open_instances(upstream))
--- /dev/null
+++ b/pistachioglade/serving/tests/test_foreign_records.py
@@ -0,0 +1,84 @@
+"""Records of ours that another writer has spoilt: nobody's work ends over them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ...errors import Refusal
+from ...forwarding import FleetView
+from ...jobs import JobLedger, Submission, encode_submission
+from ...jobs._records import decode_batch
+from ...platform import Entry
+from ...store import StoreClient
+from ...store.tests.scripted import run_virtual
+from .._members import Members
+
+_FIELDS: dict[str, Any] = {"items": [{"id": "i0", "path": "/"}]}
+_SOUND = encode_submission(Submission("a@h:1", "b", "h", "/", 0.0, _FIELDS))
+_LISTING = {"address": "h:1", "boot": "b", "capacity": 1.0}
+_VALUES = (
+    st.none()
+    | st.integers()
+    | st.text(max_size=5)
+    | st.lists(st.integers(), max_size=2)
+    | st.just(_FIELDS)
+)
+
+
+@given(st.lists(st.tuples(st.sampled_from(sorted(_SOUND)), _VALUES), max_size=3))
+def test_no_submission_ends_the_ledger(spoilt: list[tuple[str, Any]]) -> None:
+    async def work() -> None:
+        ledger = JobLedger()
+        ledger.take(Entry("job", 1, _SOUND | dict(spoilt), None), False)
+        ledger.take(Entry("other", 2, _SOUND, None), False)
+        assert ledger.find("other") is not None
+        for state in ledger.jobs.values():
+            assert not state.submission or isinstance(state.owner, str)
+            assert state.submission is None or state.total >= 0
+
+    run_virtual(work)
+
+
+@given(
+    _VALUES
+    | st.dictionaries(st.sampled_from(["owner", "earlier", "is_alive"]), _VALUES)
+)
+def test_no_owner_record_ends_the_ledger(value: Any) -> None:
+    async def work() -> None:
+        ledger = JobLedger()
+        ledger.take(Entry("job", 1, _SOUND, None), False)
+        ledger.take(Entry("job.owner", 2, value, None), False)
+        state = ledger.find("job")
+        assert state is not None and state.owner == "a@h:1"
+        change = {"owner": "c@h:3", "earlier": "a@h:1", "is_alive": True}
+        ledger.take(Entry("job.owner", 3, change, None), False)
+        assert state.owner == "c@h:3"
+
+    run_virtual(work)
+
+
+@given(_VALUES | st.dictionaries(st.sampled_from(["writer", "start"]), _VALUES))
+def test_no_batch_raises(value: Any) -> None:
+    assert isinstance(decode_batch(value), Refusal)
+
+
+@pytest.mark.parametrize(
+    "value", [None, 3, "h:1", [], {}, _LISTING | {"address": 7}, {"address": "h:2"}]
+)
+def test_an_entry_without_address_is_nobodys_peer(value: Any) -> None:
+    async def work() -> None:
+        client = StoreClient("store", 1)
+        members = Members("me", "h:0", 1.0, "b", client, FleetView(lambda: None))
+        members.mirror.put(Entry("sound", 1, _LISTING, None))
+        members.mirror.put(Entry("spoilt", 2, _LISTING, None))
+        members.mirror.put(Entry("spoilt", 3, value, None))
+        assert members.names == ("sound",)
+        assert members.owner_names == {"sound@h:1"}
+        assert members.address_of_node("spoilt") == ""
+        assert members.home_for("up", "m") == "sound@h:1"
+
+    run_virtual(work)
--- a/pistachioglade/serving/tests/test_lost_way.py
+++ b/pistachioglade/serving/tests/test_lost_way.py
@@ -32,6 +32,7 @@
 from ...messages import Probe, ProbeAnswer, RelayAnswer, RelayCall
 from ...metrics import Metrics
 from ...platform import Address, Entry, ProcessSettings, names
+from ...standins._instance_entry import instance_entry
 from ...store.tests.scripted import (
     Condition,
     ScriptedStore,
@@ -49,7 +50,7 @@
 _CONTACT_S = 3.0
 #: Time behind the store's return within which entries are back that had lapsed.
 _BACK_S = 2.0
-_INSTANCE = {"service": "app", "address": "10.0.0.9:80", "slots": 6, "state": "ready"}
+_INSTANCE = instance_entry("app", "10.0.0.9:80")
 _SETTINGS = ProcessSettings(
     node="mine",
     host="10.0.0.1",
--- a/pistachioglade/standins/_fleet_instance.py
+++ b/pistachioglade/standins/_fleet_instance.py
@@ -16,6 +16,7 @@
 
 from ..http1 import HttpServer, Reply, Request, Response, ServerLimits
 from ..platform import names
+from ._instance_entry import instance_entry
 
 #: Data of one event, repeated to this length, so that results have some size.
 _EVENT_BYTES: Final = 40
@@ -93,17 +94,13 @@
 
     def entry(self) -> dict[str, Any]:
         """Return what the instance lists in the store."""
-        return {
-            "service": self.upstream,
-            "address": f"127.0.0.1:{self.port}",
-            "zone": "zone-a",
-            "version": "v1",
-            "slots": self.slots,
-            "state": "draining" if self.is_leaving else "ready",
-            "cold-remaining-ms": 0,
-            "models": self._models(),
-            "sequence": 1,
-        }
+        return instance_entry(
+            self.upstream,
+            f"127.0.0.1:{self.port}",
+            slots=self.slots,
+            state="draining" if self.is_leaving else "ready",
+            models=self._models(),
+        )
 
     def _models(self) -> list[dict[str, Any]]:
         return [
--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import Awaitable, Callable, Iterable, Iterator, Sequence
 from itertools import chain
 from typing import Any, Final
@@ -21,6 +20,7 @@
     create_call,
     decode_changes,
     decode_entry,
+    decode_json,
     decode_page,
     delete_call,
     list_call,
@@ -274,7 +274,11 @@
     ) -> EntryPage | Refusal:
         """Read the part of a list that follows a name."""
         answer = await self.call(list_call(kind, after, may_be_old))
-        return answer if isinstance(answer, Refusal) else decode_page(answer.body)
+        if isinstance(answer, Refusal):
+            return answer
+        page = decode_page(answer.body)
+        self._note_read(kind, page)
+        return page
 
     async def changes(
         self, kind: str, revision: int, hold_s: float, may_be_old: bool = False
@@ -282,7 +286,20 @@
         """Wait for changes behind a revision."""
         call = watch_call(kind, revision, hold_s, may_be_old)
         answer = await self.call(call, hold_s + CALL_TIMEOUT_S)
-        return answer if isinstance(answer, Refusal) else decode_changes(answer.body)
+        if isinstance(answer, Refusal):
+            return answer
+        told = decode_changes(answer.body)
+        self._note_read(kind, told)
+        return told
+
+    def _note_read(self, kind: str, read: EntryPage | EntryChanges | Refusal) -> None:
+        """Tell of bytes that no page is made of, and of objects without a name."""
+        if isinstance(read, Refusal):
+            self._metrics.unreadable(kind)
+            self._log.error("store-unreadable", kind=kind, reason=read.reason)
+        elif read.nameless:
+            self._metrics.unreadable(kind)
+            self._log.error("store-objects-nameless", kind=kind, count=read.nameless)
 
     async def create(
         self, kind: str, name: str, value: Any, within_s: float
@@ -345,8 +362,8 @@
 
 
 def _entry(answer: Response) -> Entry | Refusal:
-    try:
-        return decode_entry(json.loads(answer.body))
-    except (KeyError, TypeError, ValueError) as error:
-        reason = f"store sent no object: {type(error).__name__} {error}"
-        return refuse(ErrorKind.PLATFORM_UNCERTAIN, reason)
+    fields = decode_json(answer.body)
+    read = fields if isinstance(fields, Refusal) else decode_entry(fields)
+    if isinstance(read, Refusal):
+        return refuse(ErrorKind.PLATFORM_UNCERTAIN, f"store sent {read.reason}")
+    return read
--- a/pistachioglade/store/_watch.py
+++ b/pistachioglade/store/_watch.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from ..decisions import Mechanism
-from ..errors import ErrorKind, Refusal
+from ..errors import ErrorKind, Refusal, refuse
 from ..logs import logger
 from ..platform import Entry, EntryChanges
 from ._client import StoreClient
@@ -21,6 +21,17 @@
 #: Longest pause; any call of the process that works ends it.
 _LONGEST_PAUSE_S: Final = 0.8
 
+#: Pause after an answer that can't be read: it is paid for, and soon read again it says
+#: the same.
+_UNREADABLE_PAUSE_S: Final = 1.0
+
+
+def _pause_s(refusal: Refusal) -> float:
+    """Return how long to leave the store alone behind a failed call."""
+    is_unreadable = refusal.kind is ErrorKind.UNREADABLE
+    return _UNREADABLE_PAUSE_S if is_unreadable else _PAUSE_S
+
+
 #: Takes an object as it is now, or as it was when it was removed.
 OnChange = Callable[[Entry, bool], None]
 
@@ -61,31 +72,40 @@
     async def run(self) -> None:
         """Follow the kind for good."""
         while True:
-            if not await self._list():
-                await asyncio.sleep(_PAUSE_S)
+            refusal = await self._list()
+            if refusal is not None:
+                await asyncio.sleep(_pause_s(refusal))
                 await self._store.wait_after_failure(_LONGEST_PAUSE_S)
                 continue
             self.is_synced.set()
             await self._follow()
 
-    async def _list(self) -> bool:
+    async def _list(self) -> Refusal | None:
+        """Read the whole list; return why it could not be taken."""
         found: dict[str, Entry] = {}
         after = ""
         revision: int | None = None
         while True:
             page = await self._store.page(self._kind, after)
             if isinstance(page, Refusal):
-                self._log.warning("list-failed", kind=self._kind, reason=page.reason)
-                return False
+                return self._list_failed(page)
             found.update((entry.name, entry) for entry in page.entries)
             revision = page.revision if revision is None else revision
-            if not page.has_more or not page.entries:
+            if not page.has_more:
                 break
-            after = page.entries[-1].name
+            # Objects that can't be named at a page's end come again with the next.
+            last = max((entry.name for entry in page.entries), default=after)
+            if last <= after:
+                return self._list_failed(refuse(ErrorKind.UNREADABLE, "no next name"))
+            after = last
         if revision < self._revision:
-            return False
+            return refuse(ErrorKind.PLATFORM_UNAVAILABLE, "a list of before")
         self._take_list(found, revision)
-        return True
+        return None
+
+    def _list_failed(self, refusal: Refusal) -> Refusal:
+        self._log.warning("list-failed", kind=self._kind, reason=refusal.reason)
+        return refusal
 
     def _take_list(self, found: dict[str, Entry], revision: int) -> None:
         self._revision = revision
@@ -112,7 +132,9 @@
                 if told.kind is ErrorKind.HISTORY_GONE:
                     self._log.info("watch-restarted", kind=self._kind)
                     return
-                await asyncio.sleep(_PAUSE_S)
+                await asyncio.sleep(_pause_s(told))
+                if told.kind is ErrorKind.UNREADABLE:
+                    return
                 await self._store.wait_after_failure(_LONGEST_PAUSE_S)
                 continue
             self._touch()
@@ -121,6 +143,10 @@
                 is_newer = known is None or known.revision <= change.entry.revision
                 if is_newer or change.is_removed:
                     self._apply(change.entry, change.is_removed)
+            if told.nameless:
+                # What changed is not known, but by a list.
+                await asyncio.sleep(_PAUSE_S)
+                return
             self._revision = max(self._revision, told.revision)
             if told.changes:
                 await self._pause(self._gather_s())
@@ -184,4 +210,8 @@
             self.entries.pop(entry.name, None)
         else:
             self.entries[entry.name] = entry
-        self._on_change(entry, is_removed)
+        try:
+            self._on_change(entry, is_removed)
+        except Exception:
+            # One object must not end the copy of all others.
+            self._log.exception("entry-not-taken", kind=self._kind, entry=entry.name)
--- a/pistachioglade/store/tests/scripted.py
+++ b/pistachioglade/store/tests/scripted.py
@@ -69,7 +69,7 @@
 class _Event:
     revision: int
     kind: str
-    fields: dict[str, Any]
+    fields: Any
     is_removed: bool
 
 
@@ -77,21 +77,28 @@
     """Objects with revisions, lists and watches."""
 
     def __init__(self) -> None:
-        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._objects: dict[tuple[str, str], Any] = {}
         self._events: list[_Event] = []
         self._changed = asyncio.Event()
         self.revision = 1
+        # What lists and watches are answered with instead; None for the truth.
+        self.spoilt: bytes | None = None
+        # How often they were.
+        self.spoilt_answers = 0
 
     def put(self, kind: str, name: str, value: Any) -> None:
         metadata = {"name": name, "revision": self.revision + 1}
-        fields = {"metadata": metadata, "specification": value}
+        self.put_whole(kind, name, {"metadata": metadata, "specification": value})
+
+    def put_whole(self, kind: str, name: str, fields: Any) -> None:
+        """Store an object as another writer may, with whatever metadata."""
         self._objects[kind, name] = fields
         self._happened(kind, fields, False)
 
     def remove(self, kind: str, name: str) -> None:
         self._happened(kind, self._objects.pop((kind, name)), True)
 
-    def _happened(self, kind: str, fields: dict[str, Any], is_removed: bool) -> None:
+    def _happened(self, kind: str, fields: Any, is_removed: bool) -> None:
         self.revision += 1
         self._events.append(_Event(self.revision, kind, fields, is_removed))
         self._changed.set()
@@ -108,6 +115,9 @@
         if name:
             found = self._objects.get((kind, name))
             return Response(404) if found is None else _json(found)
+        if self.spoilt is not None:
+            self.spoilt_answers += 1
+            return Response(200, (), self.spoilt)
         if "watch" in query:
             hold_s = int(query["wait-timeout-ms"]) / 1000.0
             return await self._watch(kind, int(query["watch"]), hold_s)
