Background work runs under a supervisor that starts it again

Change: tasks/ runs each under its name, starts it again with a growing, jittered pause (0.1 to 5 s; a copy begins with a fresh list), counts and logs each failure, and after eight in a row ends the process in order, not ready; all three programs use it. Jobs begin and list again behind 0.5 s. Ruled out: going on without a task that keeps failing, which is what was.

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -47,6 +47,7 @@
     relays_to_ask,
     relays_to_use,
 )
+from ._restarts import failures_in_a_row, is_hopeless, restart_pause_s
 from ._result_batches import (
     StepProgress,
     fitting_count,
@@ -115,6 +116,7 @@
     "capacity_of",
     "choose_for_call",
     "choose_for_sample",
+    "failures_in_a_row",
     "fetch_sources",
     "fingers",
     "fitting_count",
@@ -123,6 +125,7 @@
     "home_key",
     "home_of",
     "is_fresh",
+    "is_hopeless",
     "is_lost",
     "is_slow",
     "is_store_fresh",
@@ -140,6 +143,7 @@
     "relays_to_use",
     "remembered_places",
     "rendezvous_order",
+    "restart_pause_s",
     "save_interval_s",
     "should_load",
     "should_move",
--- a/pistachioglade/jobs/_job_run.py
+++ b/pistachioglade/jobs/_job_run.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, Final
 
 import attrs
 
@@ -46,6 +46,10 @@
         return Result(self.item.id, True, self.text.whole, versions, score)
 
 
+#: Pause behind a fault in listing results: a tenth of a step's time.
+_LIST_AGAIN_S: Final = 0.5
+
+
 class JobRun:
     """Works on one job until it is done, ended or taken over."""
 
@@ -110,7 +114,16 @@
 
     def start(self) -> None:
         """Start writing results as they come."""
-        self._writing = self.spawn(self._results.run())
+        self._writing = self.spawn(self._list_results())
+
+    async def _list_results(self) -> None:
+        """List results until the job ends; a fault costs a pause, not the job."""
+        while True:
+            try:
+                await self._results.run()
+            except Exception:
+                self._log.exception("results-failed", job=self.job.id)
+            await asyncio.sleep(_LIST_AGAIN_S)
 
     def stop_writing(self) -> None:
         """List nothing more; what runs at engines runs on."""
--- a/pistachioglade/jobs/_owner.py
+++ b/pistachioglade/jobs/_owner.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from ..decisions import FULL_POLICY, Mechanism, Policy
@@ -36,6 +37,8 @@
 _DEFAULT_AIM_S: Final = 60.0
 #: Time after which items are given up where the route doesn't say.
 _DEFAULT_RETENTION_S: Final = 600.0
+#: Pause before a job begins again that an error kept from beginning.
+_BEGIN_AGAIN_S: Final = 0.5
 
 
 class JobOwner:
@@ -118,8 +121,17 @@
                 self._catch_up_until_s = now_s + _CATCH_UP_FIRST_S
             work = self._catch_up_and_begin(state)
             task = asyncio.get_running_loop().create_task(work)
+            task.add_done_callback(partial(self._begin_again, state))
             self._beginning[state.id] = task
 
+    def _begin_again(self, state: JobState, task: asyncio.Task[None]) -> None:
+        """Begin a job again that an unforeseen error kept from beginning."""
+        if task.cancelled() or task.exception() is None:
+            return
+        self._log.error("job-not-begun", job=state.id, exc_info=task.exception())
+        loop = asyncio.get_running_loop()
+        loop.call_later(_BEGIN_AGAIN_S, self.reconcile, state)
+
     def _let_go(self, run: JobRun) -> None:
         """Let a job go whose next owner will ask for its texts.
 
@@ -317,6 +329,7 @@
         self.runs.pop(state.id, None)
         state.may_lack_results = True
         task = asyncio.get_running_loop().create_task(self._learn_owner(state))
+        task.add_done_callback(partial(self._begin_again, state))
         self._beginning[state.id] = task
         run.stop()
 
--- a/pistachioglade/jobs/tests/test_passing_on.py
+++ b/pistachioglade/jobs/tests/test_passing_on.py
@@ -30,7 +30,7 @@
 
 
 @attrs.frozen
-class _Scene:
+class Scene:
     """An entry that runs a job of one sample, at an engine of 50 events a second."""
 
     owner: JobOwner
@@ -50,7 +50,7 @@
         assert "job" not in self.owner.runs
 
 
-def _play(case: Callable[[_Scene], Awaitable[None]], policy: Policy) -> None:
+def play(case: Callable[[Scene], Awaitable[None]], policy: Policy) -> None:
     async def work() -> None:
         async with served_store() as store:
             client = store.client()
@@ -82,7 +82,7 @@
             submission = Submission("me@h:1", "boot", "h", "/", 0.0, fields)
             ledger.take(Entry("job", 1, encode_submission(submission), None), False)
             await eventually(lambda: "job" in owner.runs)
-            scene = _Scene(owner, ledger, engine)
+            scene = Scene(owner, ledger, engine)
             await eventually(lambda: scene.events() >= 3)
             await case(scene)
             engine.stop()
@@ -93,7 +93,7 @@
 def test_samples_run_on_until_the_next_owner_asks_for_their_texts() -> None:
     """Before: 0.2 to 0.35 s of each running sample was lost at a planned stop."""
 
-    async def case(scene: _Scene) -> None:
+    async def case(scene: Scene) -> None:
         before = scene.events()
         scene.pass_on()
         # What the next owner takes to read the job.
@@ -103,37 +103,37 @@
         await eventually(lambda: scene.engine.running == 0)
         assert scene.owner.texts("job") == made
 
-    _play(case, Policy())
+    play(case, Policy())
 
 
 def test_they_stop_by_themselves_where_nobody_asks() -> None:
-    async def case(scene: _Scene) -> None:
+    async def case(scene: Scene) -> None:
         scene.pass_on()
         await eventually(lambda: scene.engine.running == 0)
         assert scene.owner.texts("job").texts
 
-    _play(case, Policy())
+    play(case, Policy())
 
 
 def test_they_stop_with_the_job() -> None:
-    async def case(scene: _Scene) -> None:
+    async def case(scene: Scene) -> None:
         scene.pass_on()
         scene.ledger.take(Entry("job.end", 10, {}, None), False)
         run_on = scene.owner._handed_over.get("job")
         assert run_on is None
         await eventually(lambda: scene.engine.running == 0)
 
-    _play(case, Policy())
+    play(case, Policy())
 
 
 def test_without_it_they_stop_at_once() -> None:
-    async def case(scene: _Scene) -> None:
+    async def case(scene: Scene) -> None:
         before = scene.events()
         scene.pass_on()
         await asyncio.sleep(0.2)
         assert len(scene.owner.texts("job").texts[0].parts) <= before + 1
 
-    _play(case, Policy(frozenset({Mechanism.RUNNING_ON})))
+    play(case, Policy(frozenset({Mechanism.RUNNING_ON})))
 
 
 @pytest.mark.parametrize("is_catching_up", [True, False])
--- a/pistachioglade/metrics/_metrics.py
+++ b/pistachioglade/metrics/_metrics.py
@@ -82,6 +82,12 @@
             registry=self._registry,
         )
 
+        self._task_failures = Counter(
+            "pistachioglade_task_failures",
+            "Failures of background work by its name; it starts again.",
+            ("task",),
+            registry=self._registry,
+        )
         self._unreadable = Counter(
             "pistachioglade_unreadable",
             "Answers and objects of the store that could not be read, by kind.",
@@ -89,6 +95,10 @@
             registry=self._registry,
         )
 
+    def task_failed(self, name: str) -> None:
+        """Count a failure of background work."""
+        self._task_failures.labels(name).inc()
+
     def unreadable(self, kind: str) -> None:
         """Count an answer or an object of the store that could not be read."""
         self._unreadable.labels(kind).inc()
--- a/pistachioglade/serving/_engine_program.py
+++ b/pistachioglade/serving/_engine_program.py
@@ -37,6 +37,7 @@
     names,
 )
 from ..store import StoreClient
+from ..tasks import Supervisor
 from ._secret import SHARED_SECRET
 from ._settings_watch import SettingsWatch
 
@@ -86,6 +87,9 @@
         # When each engine of the upstream was last listed, by its address.
         self._places_s: dict[str, float] = {}
         self._has_news = asyncio.Event()
+        self._is_leaving = asyncio.Event()
+        # Work that is given up ends the process in order: the platform starts it anew.
+        self._supervisor = Supervisor(metrics, self._is_leaving.set)
 
     async def _read_versions(self) -> None:
         """Read all named versions, now and then.
@@ -123,22 +127,22 @@
     async def run(self) -> None:
         """Follow the trainers until SIGTERM."""
         loop = asyncio.get_running_loop()
-        is_leaving = asyncio.Event()
-        loop.add_signal_handler(signal.SIGTERM, is_leaving.set)
+        loop.add_signal_handler(signal.SIGTERM, self._is_leaving.set)
         loop.add_signal_handler(signal.SIGHUP, self._watch.signal)
-        tasks = [
-            loop.create_task(self._read_versions()),
-            loop.create_task(self._follow()),
-            loop.create_task(self._watch.run()),
-        ]
+        self._start_work()
         address = f"{self._settings.host}:{self._settings.internal_port}"
         await self._links.start(address)
         self._log.info("started", program="engine", engine=str(self._settings.engine))
-        await is_leaving.wait()
-        for task in tasks:
-            task.cancel()
+        await self._is_leaving.wait()
+        self._supervisor.stop()
         self._log.info("stopped", program="engine")
 
+    def _start_work(self) -> None:
+        """Start all that the program lives by, each under its name."""
+        self._supervisor.start("versions", self._read_versions)
+        self._supervisor.start("engine", self._follow)
+        self._supervisor.start("settings", self._watch.run)
+
     def _follow_settings(self, settings: ProcessSettings) -> None:
         self._settings = settings
         self._store.move_to(settings.store.host, settings.store.port)
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -5,7 +5,7 @@
 import asyncio
 import secrets
 import signal
-from collections.abc import Awaitable
+from functools import partial
 from typing import Final
 
 import attrs
@@ -26,6 +26,7 @@
 from ..metrics import Metrics
 from ..platform import ProcessSettings, names
 from ..store import Mirror, StoreClient
+from ..tasks import Supervisor
 from ._ingress import Ingress
 from ._job_calls import JobCalls
 from ._members import ENTRY_KIND, Members
@@ -198,7 +199,8 @@
             lambda: self._instances.age_s,
         )
         self._is_leaving = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
+        # Work that is given up ends the process in order: the platform starts it anew.
+        self._supervisor = Supervisor(metrics, self._is_leaving.set)
 
     @property
     def is_ready(self) -> bool:
@@ -227,17 +229,26 @@
             limits = configuration.limits
             self._callers.limits = ServerLimits(**attrs.asdict(limits))
 
-    def _spawn(self, work: Awaitable[None]) -> None:
-        async def run() -> None:
-            await work
-
-        task = asyncio.get_running_loop().create_task(run())
-        task.add_done_callback(self._report_crash)
-        self._tasks.append(task)
-
-    def _report_crash(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            self._log.error("task-failed", exc_info=task.exception())
+    def _start_work(self) -> None:
+        """Start all that the entry lives by, each under its name."""
+        start = self._supervisor.start
+        beat = partial(self._store.beat, ENTRY_KIND, self._settings.node)
+        start("configurations", self._configurations.run)
+        start("instances", self._instances.run)
+        start("jobs", self._jobs.run)
+        start("entries", self._members.mirror.run)
+        start("versions", self._versions.mirror.run)
+        start("store-beat", beat)
+        start("enabling-jobs", self._enable_jobs, may_end=True)
+        start("enrolment", self._members.enrol, may_end=True)
+        start("neighbour", self._peers.watch_neighbour)
+        start("orphans", self._peers.sweep)
+        start("store-ways", self._ways.run, may_end=True)
+        start("cleaner", self._cleaner.run)
+        start("owner", self._owner.look_around)
+        start("texts", self._owner.save_texts, may_end=True)
+        start("housekeeping", self._keep_house)
+        start("settings", self._watch.run)
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
@@ -249,20 +260,7 @@
         await self._readiness.start(settings.readiness.host, settings.readiness.port)
         await self._callers.start(settings.callers.host, settings.callers.port)
         await self._link_server.start(self._address)
-        mirrors = (self._configurations, self._instances, self._jobs)
-        for mirror in (*mirrors, self._members.mirror, self._versions.mirror):
-            self._spawn(mirror.run())
-        self._spawn(self._store.beat(ENTRY_KIND, settings.node))
-        self._spawn(self._enable_jobs())
-        self._spawn(self._members.enrol())
-        self._spawn(self._peers.watch_neighbour())
-        self._spawn(self._peers.sweep())
-        self._spawn(self._ways.run())
-        self._spawn(self._cleaner.run())
-        self._spawn(self._owner.look_around())
-        self._spawn(self._owner.save_texts())
-        self._spawn(self._keep_house())
-        self._spawn(self._watch.run())
+        self._start_work()
         self._log.info("started", program="entry", listens=str(settings.callers))
         await self._is_leaving.wait()
         await self._leave()
--- a/pistachioglade/serving/_storage_program.py
+++ b/pistachioglade/serving/_storage_program.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import signal
+from functools import partial
 from typing import Final
 
 from ..decisions import FULL_POLICY, Policy
@@ -21,6 +22,7 @@
     names,
 )
 from ..store import Mirror, StoreClient
+from ..tasks import Supervisor
 from ._settings_watch import SettingsWatch
 
 #: Time for which a process leaves a request to the machine that is asked; by then it
@@ -50,13 +52,17 @@
         self._requests = Mirror(
             self._store, names.RETIREMENT_KIND, self._take, _WATCH_HOLD_S
         )
-        self._answers: dict[str, asyncio.Task[None]] = {}
+        self._answering: set[str] = set()
+        self._is_leaving = asyncio.Event()
+        # Work that is given up ends the process in order: the platform starts it anew.
+        self._supervisor = Supervisor(metrics, self._is_leaving.set)
 
     def _take(self, entry: Entry, is_removed: bool) -> None:
         is_open = not is_removed and is_retirement_open(entry.status)
-        if is_open and entry.name not in self._answers:
-            loop = asyncio.get_running_loop()
-            self._answers[entry.name] = loop.create_task(self._answer(entry.name))
+        if is_open and entry.name not in self._answering:
+            self._answering.add(entry.name)
+            work = partial(self._answer, entry.name)
+            self._supervisor.start("answer", work, may_end=True)
 
     async def _answer(self, node: str) -> None:
         if node != self._settings.node:
@@ -70,7 +76,7 @@
             if refusal is None:
                 break
             await asyncio.sleep(_PAUSE_S)
-        self._answers.pop(node, None)
+        self._answering.discard(node)
 
     def _is_open(self, node: str) -> bool:
         entry = self._requests.entries.get(node)
@@ -79,19 +85,19 @@
     async def run(self) -> None:
         """Answer until SIGTERM."""
         loop = asyncio.get_running_loop()
-        is_leaving = asyncio.Event()
-        loop.add_signal_handler(signal.SIGTERM, is_leaving.set)
+        loop.add_signal_handler(signal.SIGTERM, self._is_leaving.set)
         loop.add_signal_handler(signal.SIGHUP, self._watch.signal)
-        tasks = (
-            loop.create_task(self._requests.run()),
-            loop.create_task(self._watch.run()),
-        )
+        self._start_work()
         self._log.info("started", program="storage")
-        await is_leaving.wait()
-        for task in tasks:
-            task.cancel()
+        await self._is_leaving.wait()
+        self._supervisor.stop()
         self._log.info("stopped", program="storage")
 
+    def _start_work(self) -> None:
+        """Start all that the program lives by, each under its name."""
+        self._supervisor.start("requests", self._requests.run)
+        self._supervisor.start("settings", self._watch.run)
+
     def _follow_settings(self, settings: ProcessSettings) -> None:
         self._settings = settings
         self._store.move_to(settings.store.host, settings.store.port)
--- a/pistachioglade/serving/tests/test_lost_way.py
+++ b/pistachioglade/serving/tests/test_lost_way.py
@@ -51,7 +51,7 @@
 #: Time behind the store's return within which entries are back that had lapsed.
 _BACK_S = 2.0
 _INSTANCE = instance_entry("app", "10.0.0.9:80")
-_SETTINGS = ProcessSettings(
+SETTINGS = ProcessSettings(
     node="mine",
     host="10.0.0.1",
     domain="a",
@@ -125,7 +125,7 @@
     store = ScriptedStore()
     store.put(names.INSTANCE_KIND, "i-1", _INSTANCE)
     mine, theirs = ScriptedWay(store), ScriptedWay(store)
-    program = EntryProgram(SettingsWatch(Path("-"), _SETTINGS), Metrics())
+    program = EntryProgram(SettingsWatch(Path("-"), SETTINGS), Metrics())
     program._store._pool = mine  # type: ignore[assignment]
     program._ways._links.call = _link(theirs)  # type: ignore[method-assign]
     value = {"address": "other", "boot": "b", "capacity": 1.0}
