Whole numbers of the store's objects are read as such up to 300 digits

Change: the bound is 300 digits, which a float holds. Ruled out: the supervisor (the older programs don't use it).

--- a/pistachioglade/platform/_objects.py
+++ b/pistachioglade/platform/_objects.py
@@ -15,8 +15,9 @@
 #: Longest name of an object that is read: the longest of ours has under 80 characters,
 #: and a path of a megabyte would be refused.
 _MAX_NAME_CHARS: Final = 512
-#: Digits of the largest number that is read: revisions and milliseconds have under 16.
-_MAX_DIGITS: Final = 18
+#: Digits of the largest whole number that is read as such: any that a float can hold.
+#: Values carry nonces of 64 bits and more; the language refuses to read 4,300 digits.
+_MAX_DIGITS: Final = 300
 
 
 @attrs.frozen
--- a/pistachioglade/platform/tests/test_foreign_entries.py
+++ b/pistachioglade/platform/tests/test_foreign_entries.py
@@ -135,6 +135,15 @@
         assert not isinstance(read, Refusal) or len(read.reason) < _REASON_CHARS
 
 
+def test_large_numbers_of_values_are_kept() -> None:
+    """Read as infinite, an owner's nonce of 19 digits made its lease nobody's."""
+    value = {"nonce": 2**64 - 1, "large": 10**200}
+    body = {"metadata": {"name": "a", "revision": 1}, "specification": value}
+    page = decode_page(json.dumps({"items": [body], "at": 1}).encode())
+    assert not isinstance(page, Refusal)
+    assert page.entries[0].value == value
+
+
 _SOUND = b'{"metadata": {"name": "b", "revision": 7}, "specification": 1}'
 
 
