--- a/pistachioglade/decisions/_store_outage.py
+++ b/pistachioglade/decisions/_store_outage.py
@@ -34,18 +34,33 @@
     answered_s: float = float("-inf")
     # When the first of the calls began that no way has answered; None while one does.
     unanswered_since_s: float | None = None
-    # Whether the store is away.
-    is_away: bool = False
+    # When the store was taken for away; None if it isn't.
+    away_since_s: float | None = None
     # When it was back from its last outage; None if it had none.
     returned_s: float | None = None
 
-    def answered(self, now_s: float) -> None:
-        """Take an answer, by whichever way."""
-        if self.is_away:
+    @property
+    def is_away(self) -> bool:
+        """Whether the store is away."""
+        return self.away_since_s is not None
+
+    def answered(self, asked_s: float, now_s: float) -> None:
+        """Take an answer, by whichever way, to a call that began then."""
+        if self.away_since_s is not None and not self._was_doubt(asked_s, now_s):
             self.returned_s = now_s
         self.answered_s = now_s
         self.unanswered_since_s = None
-        self.is_away = False
+        self.away_since_s = None
+
+    def _was_doubt(self, asked_s: float, now_s: float) -> bool:
+        """Whether the call that made the store seem away was answered after all.
+
+        Two refusals a second apart, with no other call between them, look like an
+        outage until the second call has gone by another way.
+        """
+        since_s = self.away_since_s
+        assert since_s is not None
+        return asked_s <= since_s and now_s - since_s < _LEAST_OUTAGE_S
 
     def unanswered(self, begun_s: float, now_s: float) -> None:
         """Take that no way answered a call that was made then.
@@ -54,8 +69,9 @@
         """
         if self.unanswered_since_s is None:
             self.unanswered_since_s = max(begun_s, self.answered_s)
-        if now_s - self.unanswered_since_s >= _LEAST_OUTAGE_S:
-            self.is_away = True
+        is_long = now_s - self.unanswered_since_s >= _LEAST_OUTAGE_S
+        if is_long and self.away_since_s is None:
+            self.away_since_s = now_s
 
     def age_s(self, now_s: float) -> float | None:
         """Return the seconds since the last outage, 0 in one; None if none was."""
--- a/pistachioglade/decisions/tests/test_store_outage.py
+++ b/pistachioglade/decisions/tests/test_store_outage.py
@@ -35,6 +35,16 @@
         2.4,
         1.0,
     ),
+    "the second refusal's call goes by another way": (
+        [(0.0, 0.1, True), (1.0, 1.0, False), (2.0, 2.0, False), (2.0, 2.1, True)],
+        2.2,
+        None,
+    ),
+    "a call that waits is answered with the return": (
+        [(0.0, 0.1, True), (1.0, 2.0, False), (1.9, 2.9, True)],
+        3.0,
+        0.1,
+    ),
     "it was away before the first answer": ([(0.0, 1.0, False)], 1.0, 0.0),
 }
 
@@ -45,7 +55,7 @@
     outage = StoreOutage()
     for begun_s, ended_s, is_answered in calls:
         if is_answered:
-            outage.answered(ended_s)
+            outage.answered(begun_s, ended_s)
         else:
             outage.unanswered(begun_s, ended_s)
     assert outage.age_s(at_s) == (
--- a/pistachioglade/serving/tests/test_lost_way.py
+++ b/pistachioglade/serving/tests/test_lost_way.py
@@ -31,7 +31,7 @@
 from ...errors import ErrorKind, Refusal, refuse
 from ...messages import Probe, ProbeAnswer, RelayAnswer, RelayCall
 from ...metrics import Metrics
-from ...platform import Address, Entry, ProcessSettings, names
+from ...platform import Address, Entry, ProcessSettings, names, read_call
 from ...standins._instance_entry import instance_entry
 from ...store.tests.scripted import (
     Condition,
@@ -227,6 +227,46 @@
     run_virtual(work)
 
 
+@pytest.mark.parametrize("phase_s", _PHASES_S)
+def test_an_outage_is_seen_though_another_entry_is_slow_to_see_it(
+    phase_s: float,
+) -> None:
+    """That one says that it reaches the store, and is asked for two whole calls.
+
+    An entry that took an outage as seen only once every way had been tried was told of
+    the lapse before, by the answer to a call that it made for a third one, and had no
+    instance for 1.2 s. The evidence: "instance-gone" without an outage's age, 0.01 s
+    behind "dependency-regained" and 1.6 s behind the last call of its own that failed.
+    """
+
+    async def ask(address: str, message: Any, timeout_s: float) -> Any:
+        if isinstance(message, Probe):
+            return ProbeAnswer("b", 0.1, True)
+        await asyncio.sleep(2.0 * timeout_s)
+        return refuse(ErrorKind.LINK_LOST, "no answer")
+
+    async def for_third(scene: _Scene, timeout_s: float) -> None:
+        await scene.program._store.direct(read_call("entries", "third"), timeout_s)
+
+    async def work() -> None:
+        async with _scene() as scene:
+            scene.program._ways._links.call = ask  # type: ignore[method-assign]
+            await until(5.0 + phase_s)
+            scene.mine.turn(Condition.SILENT)
+            # A call for a third entry fails first, so that a way around is known.
+            await for_third(scene, 0.45)
+            await asyncio.sleep(2.35)
+            scene.store.remove(names.INSTANCE_KIND, "i-1")
+            await asyncio.sleep(0.2)
+            scene.mine.turn(Condition.WHOLE)
+            begin_s = now_s()
+            await for_third(scene, 1.0)
+            used = await scene.is_used_between(now_s(), begin_s + _BACK_S)
+            assert len(used) >= 39
+
+    run_virtual(work)
+
+
 async def _known_after(offset_s: float) -> float:
     """Return how long behind the loss of its way an entry hears of an instance."""
     async with _scene() as scene:
--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -115,14 +115,15 @@
         except TimeoutError:
             reason = f"store gave no answer in {timeout_s} s"
             answer = refuse(ErrorKind.UPSTREAM_LOST, reason)
-        self._note(answer)
+        self._note(answer, begun_s)
+        self._note_unanswered(call, answer, begun_s)
         if not call.is_watch:
             outcome = "lost" if isinstance(answer, Refusal) else str(answer.status)
             took_s = asyncio.get_running_loop().time() - begun_s
             self._metrics.store_called(call.method, outcome, took_s)
         return answer
 
-    def _note(self, answer: Response | Refusal) -> None:
+    def _note(self, answer: Response | Refusal, begun_s: float) -> None:
         now_s = asyncio.get_running_loop().time()
         if not _is_answered(answer):
             if self._failed_s is None:
@@ -143,14 +144,27 @@
         self._troubled.clear()
         self._failed_s = None
         self.answered_s = now_s
-        self._answered_somehow()
+        self._answered_somehow(begun_s)
 
-    def _answered_somehow(self) -> None:
+    def _answered_somehow(self, begun_s: float) -> None:
         """Take an answer, by whichever way it came."""
         self.worked_s = asyncio.get_running_loop().time()
-        self._outage.answered(self.worked_s)
+        self._outage.answered(begun_s, self.worked_s)
         self._regained.set()
 
+    def _note_unanswered(
+        self, call: StoreCall, answer: Response | Refusal, begun_s: float
+    ) -> None:
+        """Take that a way did not answer, at once and not behind the last of the ways.
+
+        Each of them may take a call's whole time, and the store may be back by then.
+        """
+        if _is_answered(answer):
+            return
+        now_s = asyncio.get_running_loop().time()
+        # A watch that was held and then lost says nothing of the time before its end.
+        self._outage.unanswered(now_s if call.is_watch else begun_s, now_s)
+
     def renew(self) -> None:
         """Have watches sent anew: by another way, or to a store that is back."""
         for waiter in self._renewals:
@@ -234,13 +248,11 @@
         for way in ways:
             answer = await way(call, timeout_s)
             if _is_answered(answer):
-                self._answered_somehow()
+                self._answered_somehow(begun_s)
                 return answer
+            self._note_unanswered(call, answer, begun_s)
             if isinstance(answer, Refusal) and not (answer.did_not_run or may_repeat):
                 break
-        now_s = asyncio.get_running_loop().time()
-        # A watch that was held and then lost says nothing of the time before its end.
-        self._outage.unanswered(now_s if call.is_watch else begun_s, now_s)
         return answer
 
     @property
