--- a/pistachioglade/standins/_fleet_instance.py
+++ b/pistachioglade/standins/_fleet_instance.py
@@ -79,6 +79,8 @@
         self.running = 0
         self.port = 0
         self.is_leaving = False
+        # When this run of it began, in milliseconds since the epoch; None: untold.
+        self.born_ms: int | None = None
         self._server = HttpServer(self._handle, ServerLimits())
 
     async def start(self) -> None:
@@ -92,6 +94,15 @@
         for connection in tuple(self._server.connections):
             connection.close()
 
+    def start_again(self) -> None:
+        """Start again under the same id and address, knowing nothing of before."""
+        for connection in tuple(self._server.connections):
+            connection.close()
+        self.versions = dict.fromkeys(self.versions, 1)
+        self.orders.clear()
+        self.is_leaving = False
+        self.born_ms = (self.born_ms or 0) + 1
+
     def entry(self) -> dict[str, Any]:
         """Return what the instance lists in the store."""
         return instance_entry(
@@ -100,6 +111,7 @@
             slots=self.slots,
             state="draining" if self.is_leaving else "ready",
             models=self._models(),
+            **({} if self.born_ms is None else {"born": self.born_ms}),
         )
 
     def _models(self) -> list[dict[str, Any]]:
