An owner forgets a finished step only once its record is written

Callers saw: a trainer stood still for two minutes in mid step and then lost it, because of the record of a step that it had finished long before. Cause: the owner kept the two newest finished steps, whether or not they were written. A step that is opened again whole, to have it recorded, is finished at once and the oldest: it was forgotten between its opening and the line that counts its samples (KeyError), at each try again; and of three closed steps the first was forgotten while the object API was away. Change: steps_to_forget names finished steps whose record, as it is, is written, but for the newest two; what was forgotten so is answered as recorded for as long as the lease is held, without being opened again (which wrote its record anew, without the refusals and wasted tokens). Why it holds: a step that was just opened has a record that is not written yet, so it can't be among them; and the word of a forgotten step ends with the lease, as the next owner may hear of other copies. Ruled out: reading the count before forgetting, alone: the step would then never be known as recorded, since each opening writes its record anew.

--- a/pistachioglade/agent/_owner.py
+++ b/pistachioglade/agent/_owner.py
@@ -9,7 +9,7 @@
 
 from ..config import AgentSettings, Trainer, Weighing
 from ..controllers import CONFIG, NEWEST, Node
-from ..decisions import VersionPace, hold_s
+from ..decisions import FinishedStep, VersionPace, hold_s, steps_to_forget
 from ..errors import ErrorKind, Refusal, refuse
 from ..messages import (
     FetchSamples,
@@ -28,8 +28,6 @@
 
 _log = logger(__name__)
 
-#: Finished steps that are kept, for a trainer that asks again.
-_KEPT_STEPS = 2
 #: Most samples in one step; its record stays below a megabyte.
 MAX_STEP_SAMPLES = 16_384
 
@@ -47,6 +45,9 @@
         self.ledger = Ledger(node)
         self._leases: dict[str, OwnerLease] = {}
         self._runs: dict[str, dict[int, StepRun]] = {}
+        # Steps of each trainer that were finished and written here and are forgotten,
+        # under the lease that is held; a number a step.
+        self._forgotten: dict[str, set[int]] = {}
         self._paces: dict[str, VersionPace] = {}
         self._known: dict[str, int] = {}
         node.board.follow(NEWEST, self._on_versions)
@@ -97,6 +98,8 @@
     def _drop(self, trainer: str) -> None:
         for run in self._runs.pop(trainer, {}).values():
             run.close()
+        # The next owner may hear of other copies, so that this record is not the last.
+        self._forgotten.pop(trainer, None)
 
     def _lease(self, trainer: str) -> OwnerLease:
         if trainer not in self._leases:
@@ -116,13 +119,14 @@
         if elsewhere is not None:
             return elsewhere
         runs = self._runs.setdefault(message.trainer, {})
-        if message.step in runs:
-            runs[message.step].adopt_receipts(message)
+        run = runs.get(message.step)
+        if run is None:
+            run = runs[message.step] = self._start(message, lease)
+            self._forgotten.get(message.trainer, set()).discard(message.step)
+            self._forget_finished(message.trainer, runs)
         else:
-            runs[message.step] = self._start(message, lease)
-            self._forget_finished(runs)
-        count = runs[message.step].plan.sample_count
-        return StepOpened(self._node.settings.node, lease.fence, count)
+            run.adopt_receipts(message)
+        return StepOpened(self._node.settings.node, lease.fence, run.plan.sample_count)
 
     def _check(self, message: OpenStep) -> Refusal | None:
         refusal = self._node.admission()
@@ -160,15 +164,22 @@
             run.plan.pending_count == 0 for number, run in runs.items() if number < step
         )
 
-    @staticmethod
-    def _forget_finished(runs: dict[int, StepRun]) -> None:
-        finished = sorted(step for step, run in runs.items() if run.plan.is_complete)
-        for step in finished[:-_KEPT_STEPS]:
+    def _forget_finished(self, trainer: str, runs: dict[int, StepRun]) -> None:
+        finished = (
+            FinishedStep(step, self.ledger.is_recorded(trainer, step))
+            for step, run in runs.items()
+            if run.plan.is_complete
+        )
+        for step in steps_to_forget(finished):
             runs.pop(step).close()
+            self._forgotten.setdefault(trainer, set()).add(step)
+            _log.info("step.forgotten", trainer=trainer, step=step)
 
     async def fetch(self, message: FetchSamples) -> SampleBatch | OwnerIs | Refusal:
         """Give out samples of a step that is open here."""
         run = self._runs.get(message.trainer, {}).get(message.step)
+        if run is None and message.step in self._forgotten.get(message.trainer, ()):
+            return SampleBatch(message.step, (), missing_count=0, is_recorded=True)
         if run is None:
             reason = f"step {message.step} is not open here; open it again"
             return refuse(ErrorKind.UNKNOWN_STEP, reason)
--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -30,6 +30,7 @@
 )
 from ._job_home import capacity_of, home_key, home_of
 from ._job_retention import may_forget
+from ._kept_steps import FinishedStep, steps_to_forget
 from ._keys import Attach, KeyGate, Replay, Run
 from ._lease import LeaseObserver
 from ._membership import BUCKET_COUNT, Membership
@@ -94,6 +95,7 @@
     "ChooserSettings",
     "Dispatch",
     "FairQueue",
+    "FinishedStep",
     "GroupHomes",
     "InstanceRecord",
     "KeyGate",
@@ -152,6 +154,7 @@
     "slow_agents",
     "stable_hash",
     "start_order",
+    "steps_to_forget",
     "stream_silence_s",
     "try_time_s",
     "usual_pace_s",
