Records of closed steps are asked for beside the step in hand

Callers saw: a trainer got no sample of the step in hand for two minutes, and then an error that ended it, while the record of a step that was over could not be asked for. Cause: the client asked for the records of closed steps in the thread that takes samples, between two fetches, with the step's own patience (120 s a request) and errors. Why it holds: nothing of a closed step runs in the thread that takes samples but one bounded request at its end, and its errors end there. Ruled out: a short patience in the same thread: several steps wait for one owner, one after the other.

--- a/pistachioglade/agent/tests/stepping.py
+++ b/pistachioglade/agent/tests/stepping.py
@@ -171,6 +171,7 @@
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
         self._owners = 0
+        self._clients: list[TrainerClient] = []
         self._node: _Node | None = None
         # Errors that a handler of the owner ended with.
         self.faults: list[str] = []
@@ -211,6 +212,7 @@
         checkpoint = TrainerCheckpoint.from_json(saved) if saved else None
         client = TrainerClient(settings, checkpoint)
         client._entries = self  # type: ignore[assignment]
+        self._clients.append(client)
         return client
 
     def open(self, client: TrainerClient, step: int) -> OpenedStep:
@@ -243,7 +245,9 @@
             return refuse(ErrorKind.INTERNAL, repr(error))
 
     def end(self) -> None:
-        """Stop the owner and its loop."""
+        """Stop the clients, the owner and its loop."""
+        for client in self._clients:
+            client.close()
         self._run(self._replace_owner())
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
--- a/pistachioglade/load/_trainers.py
+++ b/pistachioglade/load/_trainers.py
@@ -135,6 +135,7 @@
 
     def restore_client(self, checkpoint: TrainerCheckpoint) -> None:
         """Replace the client by one that goes on from a checkpoint."""
+        self.client.close()
         self.client = TrainerClient(self._settings, checkpoint)
 
     def _open(self, step: int) -> OpenedStep:
--- a/pistachioglade/trainer/_client.py
+++ b/pistachioglade/trainer/_client.py
@@ -23,11 +23,13 @@
 from ._checkpoint import ClosedStepCheckpoint, StepCheckpoint, TrainerCheckpoint
 from ._http import EntryClient
 from ._receipts import StepReceipts, Verdict
+from ._recorder import Recorder
 
 _PATIENCE_S: Final = 120.0
 _TIMEOUT_S: Final = 45.0
-_SETTLE_PAUSE_S: Final = 0.5
-_SETTLE_INTERVAL_S: Final = 3.0
+#: Time that a step's end waits for its owner, which answers within milliseconds if it
+#: is well; the trainer has its samples and must not stand still for their record.
+_CLOSE_TIMEOUT_S: Final = 1.0
 
 
 class ServiceError(Exception):
@@ -69,13 +71,13 @@
         self._newest_version = saved.newest_version
         self._saved = {item.step: item for item in saved.steps}
         self._open: dict[int, OpenedStep] = {}
-        self._unrecorded = {
-            item.state.step: OpenedStep(
-                self, item.state.step, item.groups, item.max_tokens, item.state
+        self._recorder = Recorder()
+        for item in saved.unrecorded:
+            self._recorder.add(
+                OpenedStep(
+                    self, item.state.step, item.groups, item.max_tokens, item.state
+                )
             )
-            for item in saved.unrecorded
-        }
-        self._settled_s = time.monotonic()
         self.duplicates = 0
         self.too_stale = 0
 
@@ -106,6 +108,7 @@
         opened.reopen()
         with self._lock:
             self._open[step] = opened
+        self._recorder.start()
         return opened
 
     def checkpoint(self) -> TrainerCheckpoint:
@@ -113,7 +116,7 @@
         with self._lock:
             steps = tuple(item.checkpoint() for item in self._open.values())
             unrecorded = tuple(
-                item.closed_checkpoint() for item in self._unrecorded.values()
+                item.closed_checkpoint() for item in self._recorder.steps()
             )
             return TrainerCheckpoint(self._newest_version, steps, unrecorded)
 
@@ -121,22 +124,14 @@
         """Make sure that the receipts of closed steps are in the record.
 
         A step's owner may die between the last receipt and its record; so the
-        receipts are kept here until the owner says that they are written.
+        receipts are kept here until the owner says that they are written. The client
+        asks for that by itself; this asks at once, and on until ``bound_s`` is over.
         """
-        deadline_s = time.monotonic() + bound_s
-        while True:
-            for step, opened in tuple(self._unrecorded.items()):
-                if opened.is_recorded():
-                    del self._unrecorded[step]
-            if not self._unrecorded or time.monotonic() >= deadline_s:
-                return not self._unrecorded
-            time.sleep(_SETTLE_PAUSE_S)
+        return self._recorder.settle(bound_s)
 
-    def settle_now_and_then(self) -> None:
-        """Call :meth:`settle` if that was not done for a while."""
-        if time.monotonic() - self._settled_s > _SETTLE_INTERVAL_S:
-            self._settled_s = time.monotonic()
-            self.settle()
+    def close(self) -> None:
+        """Ask for no more records; :meth:`checkpoint` still holds what is left."""
+        self._recorder.close()
 
 
 class OpenedStep:
@@ -174,20 +169,37 @@
         self.close()
 
     def close(self) -> None:
-        """Tell the owner of the last receipts and forget the step."""
-        with self._client._lock:
-            self._client._open.pop(self._step, None)
-        if self._receipts.is_complete and not self.is_recorded():
-            self._client._unrecorded[self._step] = self
-
-    def is_recorded(self) -> bool:
-        """Send the last receipts; return whether the owner has written all."""
-        result = self._send_receipts()
-        if isinstance(result, Refusal):
-            if result.kind is ErrorKind.UNKNOWN_STEP:
-                self.reopen()
-            return False
-        return result.is_recorded
+        """Tell the owner of the last receipts and forget the step.
+
+        A whole step is kept with the client until its record is written.
+        """
+        client = self._client
+        with client._lock:
+            client._open.pop(self._step, None)
+            if not self._receipts.is_complete:
+                return
+            client._recorder.add(self)
+        if self.ask_recorded(_CLOSE_TIMEOUT_S) is True:
+            client._recorder.drop(self._step)
+        client._recorder.start()
+
+    @property
+    def step(self) -> int:
+        """Number of the step."""
+        return self._step
+
+    def ask_recorded(self, timeout_s: float) -> bool | Refusal:
+        """Send the receipts in one try; return whether the owner has written all.
+
+        An owner that doesn't know the step gets it opened again, with all receipts.
+        """
+        result = self._send_receipts(timeout_s, patience_s=0.0)
+        if not isinstance(result, Refusal):
+            return result.is_recorded
+        if result.kind is not ErrorKind.UNKNOWN_STEP:
+            return result
+        refusal = self._try_reopen(timeout_s, patience_s=0.0)
+        return False if refusal is None else refusal
 
     @property
     def is_complete(self) -> bool:
@@ -207,6 +219,11 @@
 
     def reopen(self) -> None:
         """Open the step at whichever node owns it now, with all receipts."""
+        refusal = self._try_reopen(_TIMEOUT_S, _PATIENCE_S)
+        if refusal is not None:
+            raise ServiceError(refusal)
+
+    def _try_reopen(self, timeout_s: float, patience_s: float) -> Refusal | None:
         receipts = self._receipts.all()
         fields = {
             "groups": unstructure(self._groups),
@@ -216,10 +233,11 @@
             "age_s": self._age_s(),
         }
         path = f"/v1/steps/{self._step}"
-        result = self._client._entries.post(path, fields, _TIMEOUT_S, _PATIENCE_S)
+        result = self._client._entries.post(path, fields, timeout_s, patience_s)
         if isinstance(result, Refusal):
-            raise ServiceError(result)
+            return result
         self._receipts.acknowledged(receipts, ())
+        return None
 
     def __iter__(self) -> Iterator[Sample]:
         """Yield every sample that is still missing."""
@@ -256,17 +274,25 @@
     def _fetch(self) -> None:
         """Ask for samples; open the step again if its owner has changed."""
         settings = self._client._settings
-        result = self._send_receipts(settings.batch_samples, settings.wait_s)
+        result = self._send_receipts(
+            settings.wait_s + _TIMEOUT_S,
+            _PATIENCE_S,
+            settings.batch_samples,
+            settings.wait_s,
+        )
         if isinstance(result, Refusal):
             if result.kind is not ErrorKind.UNKNOWN_STEP:
                 raise ServiceError(result)
             self.reopen()
             return
         self._arrived.extend(result.samples)
-        self._client.settle_now_and_then()
 
     def _send_receipts(
-        self, max_samples: int = 0, wait_s: float = 0.0
+        self,
+        timeout_s: float,
+        patience_s: float,
+        max_samples: int = 0,
+        wait_s: float = 0.0,
     ) -> SampleBatch | Refusal:
         receipts = self._receipts.unsent()
         rejected = self._receipts.rejected()
@@ -278,8 +304,7 @@
             "wait_s": wait_s,
         }
         path = f"/v1/steps/{self._step}/fetch"
-        timeout_s = wait_s + _TIMEOUT_S
-        result = self._client._entries.post(path, fields, timeout_s, _PATIENCE_S)
+        result = self._client._entries.post(path, fields, timeout_s, patience_s)
         if isinstance(result, Refusal):
             return result
         self._receipts.acknowledged(receipts, rejected)
--- a/pistachioglade/trainer/_http.py
+++ b/pistachioglade/trainer/_http.py
@@ -33,7 +33,10 @@
         patience_s: float,
         traceparent: str = "",
     ) -> Any | Refusal:
-        """Post JSON until an entry answers; for requests that may be repeated."""
+        """Post JSON until an entry answers; for requests that may be repeated.
+
+        Without patience there is one try.
+        """
         deadline_s = time.monotonic() + patience_s
         headers = {
             "Authorization": f"Bearer {self._token}",
@@ -49,13 +52,14 @@
             if refusal is None and isinstance(reply, HttpReply):
                 return reply.json()
             assert refusal is not None
-            wait_s = max(_PAUSE_S, refusal.retry_after_s or 0.0)
             is_final = refusal.retry_after_s is None
-            if is_final or time.monotonic() + wait_s >= deadline_s:
-                return refusal
-            if refusal.kind is ErrorKind.UNKNOWN_STEP:
+            if is_final or refusal.kind is ErrorKind.UNKNOWN_STEP:
                 return refusal
+            # Also behind the last try: the next request goes to another entry.
             self._url = next(self._turn)
+            wait_s = max(_PAUSE_S, refusal.retry_after_s or 0.0)
+            if time.monotonic() + wait_s >= deadline_s:
+                return refusal
             time.sleep(min(wait_s, 1.0))
 
 
