A fault of the program is repeated three times, not for two minutes

Callers saw: one request was repeated each second for two minutes, while the answer was the same fault each time. Cause: EntryClient repeated whatever names a time to come again until its patience ended, and a fault of the program (internal) does. Change: may_repeat in decisions/_retry.py ends it with the fourth such answer in a row; other trouble is repeated as before, and a fault that passes, or stands between other answers, is no end. Open: a sample whose making fails is made again for as long as its step is open. Ruled out: no time to come again with internal: a caller may try again, and one fault that passes would end a trainer's step.

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -54,7 +54,7 @@
     fitting_count,
     write_time_s,
 )
-from ._retry import RetryBudget, may_retry
+from ._retry import RetryBudget, may_repeat, may_retry
 from ._ring import fingers
 from ._sample_order import PendingSample, start_order
 from ._staleness import VersionPace, hold_s, is_fresh, will_be_fresh
@@ -134,6 +134,7 @@
     "is_storeless",
     "may_forget",
     "may_have_lapsed",
+    "may_repeat",
     "may_retry",
     "may_try_again",
     "neighbour_of",
--- a/pistachioglade/decisions/_retry.py
+++ b/pistachioglade/decisions/_retry.py
@@ -13,6 +13,10 @@
 #: Least time that must be left for another try.
 _MIN_REMAINING_S: Final = 0.05
 
+#: Answers in a row that may be a fault of the program. One that comes back at each try
+#: is not mended by a further one, and whoever waits learns nothing meanwhile.
+_MOST_FAULTS: Final = 4
+
 _FINAL_KINDS: Final = frozenset(
     {
         ErrorKind.BAD_REQUEST,
@@ -51,3 +55,14 @@
     if refusal.kind in _FINAL_KINDS or remaining_s < _MIN_REMAINING_S:
         return False
     return refusal.did_not_run or idempotent
+
+
+def may_repeat(refusal: Refusal, faults_in_row: int) -> bool:
+    """Return whether a request of a trainer may be sent once more as it is.
+
+    ``faults_in_row`` counts the answers up to this one that were a fault of the
+    program. A step that isn't open has to be opened before it is asked of again.
+    """
+    if refusal.retry_after_s is None or refusal.kind is ErrorKind.UNKNOWN_STEP:
+        return False
+    return faults_in_row < _MOST_FAULTS
--- a/pistachioglade/trainer/_http.py
+++ b/pistachioglade/trainer/_http.py
@@ -10,6 +10,7 @@
 import attrs
 
 from ..backing import HttpReply, HttpSession
+from ..decisions import may_repeat
 from ..errors import ANSWERS, ErrorKind, Refusal, refuse
 from ..messages import structure
 
@@ -44,6 +45,7 @@
             "traceparent": traceparent,
         }
         body = json.dumps(fields).encode()
+        faults_in_row = 0
         while True:
             reply = self._sessions[self._url].request(
                 "POST", path, timeout_s, body, headers
@@ -52,8 +54,9 @@
             if refusal is None and isinstance(reply, HttpReply):
                 return reply.json()
             assert refusal is not None
-            is_final = refusal.retry_after_s is None
-            if is_final or refusal.kind is ErrorKind.UNKNOWN_STEP:
+            is_fault = refusal.kind is ErrorKind.INTERNAL
+            faults_in_row = faults_in_row + 1 if is_fault else 0
+            if not may_repeat(refusal, faults_in_row):
                 return refusal
             # Also behind the last try: the next request goes to another entry.
             self._url = next(self._turn)
