--- a/pistachioglade/jobs/_text_saver.py
+++ b/pistachioglade/jobs/_text_saver.py
@@ -37,13 +37,7 @@
     made: Mapping[str, SampleTexts], max_bytes: int
 ) -> dict[str, SampleTexts]:
     """Return each job's longest texts, as many as one object holds."""
-    pairs = [
-        (job_id, record)
-        for job_id, texts in made.items()
-        for record in texts.texts
-        if len(record.parts) >= LEAST_SAVED_EVENTS
-    ]
-    longest = sorted(pairs, key=lambda pair: -len(pair[1].parts))
+    longest = sorted(_candidates(made), key=lambda pair: -len(pair[1].parts))
     sizes = (text_bytes(record) for _, record in longest)
     kept = longest[: fitting_count(sizes, max_bytes)]
     return {
@@ -52,6 +46,16 @@
     }
 
 
+def _candidates(made: Mapping[str, SampleTexts]) -> list[tuple[str, TextRecord]]:
+    """Return the texts that are long enough to be saved, with their jobs."""
+    return [
+        (job_id, record)
+        for job_id, texts in made.items()
+        for record in texts.texts
+        if len(record.parts) >= LEAST_SAVED_EVENTS
+    ]
+
+
 def longest_texts(made: Iterable[SampleTexts]) -> SampleTexts:
     """Return one text for each sample: the scored one, or else the longest."""
     best: dict[str, TextRecord] = {}
@@ -90,19 +94,32 @@
             await asyncio.sleep(save_interval_s(self._saved_bytes))
             made = self._texts()
             if made is not None:
-                await self._save(worth_saving(made, self._store.max_object_bytes))
+                kept = worth_saving(made, self._store.max_object_bytes)
+                await self._save(kept, len(_candidates(made)))
 
-    async def _save(self, made: Mapping[str, SampleTexts]) -> None:
+    async def _save(self, made: Mapping[str, SampleTexts], candidates: int) -> None:
+        """Save texts, which were chosen from so many that are worth it."""
         records = [record for texts in made.values() for record in texts.texts]
         events = sum(len(record.parts) for record in records)
         if not should_save(abs(events - self._saved_events)):
             return
+        started_s = asyncio.get_running_loop().time()
         stored = await self._write({job: unstructure(made[job]) for job in made})
         if isinstance(stored, Refusal):
             self._log.warning("texts-unsaved", reason=stored.reason)
             return
         self._saved_events = events
         self._saved_bytes = sum(map(text_bytes, records))
+        self._log.info(
+            "texts-saved",
+            jobs=len(made),
+            texts=len(records),
+            left_out=candidates - len(records),
+            bytes_at_most=self._saved_bytes,
+            shortest_events=min((len(item.parts) for item in records), default=0),
+            took_s=round(asyncio.get_running_loop().time() - started_s, 3),
+            next_in_s=round(save_interval_s(self._saved_bytes), 3),
+        )
 
     async def _write(self, value: dict[str, Any]) -> Entry | Refusal:
         if not self._is_created:
