A step's record that is refused holds up no other record

Callers would see: once the object API refuses one record for good, the report gets no step of any trainer of that owner any more, and trainers ask for their records for ever. Cause: a round of writes ended with the first that failed, whatever the reason; the refused one stays the first. Found by looking for the class of the fault before (work on the past that holds up other work). Change: a round ends early only where the object API is away. Measured: agent/tests/test_owner_records.py, the new case failed before (no step recorded of three), two of three are recorded now.

--- a/pistachioglade/agent/_ledger.py
+++ b/pistachioglade/agent/_ledger.py
@@ -48,24 +48,35 @@
             await self.flush()
 
     async def flush(self) -> None:
-        """Write what is pending; keep what could not be written."""
+        """Write what is pending; keep what could not be written.
+
+        A record that is refused holds up no other one; only where the object API is
+        away do all wait, since each call would take its whole time for nothing.
+        """
         for path, record in tuple(self._pending.items()):
-            if await self._write(path, pack_step(record)):
-                if self._pending.get(path) is record:
-                    del self._pending[path]
-            else:
+            refusal = await self._write(path, pack_step(record))
+            if refusal is None and self._pending.get(path) is record:
+                del self._pending[path]
+            if refusal is not None and refusal.kind is ErrorKind.PLATFORM_UNAVAILABLE:
                 return
 
-    async def _write(self, path: str, value: Any) -> bool:
+    async def _write(self, path: str, value: Any) -> Refusal | None:
+        """Write one record; return why it is not known to be written."""
         version = self._versions.get(path, 0)
         result = await asyncio.to_thread(self._node.api.put, path, value, version)
         if not isinstance(result, Refusal):
             self._versions[path] = result
-            return True
+            return None
         if result.kind in (ErrorKind.CONFLICT, ErrorKind.PLATFORM_UNCERTAIN):
             stored = await asyncio.to_thread(self._node.api.get, path)
             if isinstance(stored, StoredObject):
                 self._versions[path] = stored.version
-                return bool(stored.value == value)
-        _log.warning("ledger.not_written", path=path, reason=result.reason)
-        return False
+                if stored.value == value:
+                    return None
+        _log.warning(
+            "ledger.not_written",
+            path=path,
+            kind=result.kind.value,
+            reason=result.reason,
+        )
+        return result
--- a/pistachioglade/agent/tests/stepping.py
+++ b/pistachioglade/agent/tests/stepping.py
@@ -59,6 +59,8 @@
     def __init__(self) -> None:
         self.objects: dict[str, StoredObject] = {}
         self.is_away = False
+        # Paths that are refused whenever they are written.
+        self.refused: set[str] = set()
 
     def get(self, path: str) -> StoredObject | Refusal:
         """Return an object."""
@@ -71,6 +73,8 @@
         """Write an object if it still has the version."""
         if self.is_away:
             return refuse(ErrorKind.PLATFORM_UNAVAILABLE, "away")
+        if path in self.refused:
+            return refuse(ErrorKind.BAD_REQUEST, path)
         found = self.objects.get(path)
         if (found.version if found else 0) != version:
             return refuse(ErrorKind.CONFLICT, path)
--- a/pistachioglade/agent/tests/test_owner_records.py
+++ b/pistachioglade/agent/tests/test_owner_records.py
@@ -22,7 +22,7 @@
 
 from ...errors import ErrorKind, Refusal
 from ...messages import SampleBatch, structure
-from .stepping import STEP_SAMPLES, Stage
+from .stepping import STEP_SAMPLES, TRAINER, Stage
 
 
 @attrs.frozen
@@ -137,3 +137,23 @@
     assert isinstance(answer, Refusal)
     assert answer.kind is ErrorKind.UNKNOWN_STEP
     stage.end()
+
+
+def test_a_record_that_is_refused_holds_up_no_other() -> None:
+    """One record that the object API refuses again and again, and the ones behind it.
+
+    What users would see: from then on the report has no step of any trainer of that
+    owner, and no trainer's record is ever known as written. The cause: a round of
+    writes ended with the first one that failed, whatever its reason.
+    """
+    stage = Stage()
+    stage.api.refused.add(f"ledger/{TRAINER}/1/agent-1.1")
+    client = stage.client()
+    for step in (1, 2, 3):
+        with stage.open(client, step) as opened:
+            assert len(list(opened)) == STEP_SAMPLES
+    stage.flush()
+    client.settle()
+    assert {step for step, _index in stage.api.recorded()} == {2, 3}
+    assert [item.state.step for item in client.checkpoint().unrecorded] == [1]
+    stage.end()
