A span of counts that is refused holds up no later one, and is told

Callers would see: once the object API refuses one span for good, the report counts no request of any caller at that entry any more, and no line says why. Change: a span that is refused for good goes behind the others; where the outcome isn't known or the object API is away, the same span is written again at the same number, as before; each refusal is a line. Measured: entry/tests/test_usage.py, the first case failed before (one of three spans stored).

--- a/pistachioglade/entry/_usage.py
+++ b/pistachioglade/entry/_usage.py
@@ -27,6 +27,16 @@
 _DIGITS: Final = 2
 #: Different reasons that are counted for one caller; more are counted as one.
 _MAX_REASONS: Final = 50
+#: Refusals behind which the same records are written again at the same number: the
+#: object API is away, or the write may have taken effect.
+_UNSETTLED: Final = frozenset(
+    {
+        ErrorKind.PLATFORM_UNAVAILABLE,
+        ErrorKind.PLATFORM_UNCERTAIN,
+        ErrorKind.CONFLICT,
+        ErrorKind.UNREADABLE,
+    }
+)
 
 
 @attrs.define
@@ -83,11 +93,22 @@
     async def flush(self) -> None:
         """Close the current span and write what is not written yet."""
         self._close_span()
-        while self._unwritten:
-            if not await self._write(self._unwritten[0]):
+        for _ in range(len(self._unwritten)):
+            refusal = await self._write(self._unwritten[0])
+            if refusal is None:
+                self._unwritten.pop(0)
+                self._number += 1
+                continue
+            _log.warning(
+                "usage.not_written",
+                number=self._number,
+                kind=refusal.kind.value,
+                reason=refusal.reason,
+            )
+            if refusal.kind in _UNSETTLED:
                 return
-            self._unwritten.pop(0)
-            self._number += 1
+            # Refused for good, as far as is known: it must not hold up later spans.
+            self._unwritten.append(self._unwritten.pop(0))
 
     def _close_span(self) -> None:
         with self._lock:
@@ -110,15 +131,17 @@
                 )
             )
 
-    async def _write(self, records: tuple[UsageRecord, ...]) -> bool:
+    async def _write(self, records: tuple[UsageRecord, ...]) -> Refusal | None:
+        """Write the records of one span; return why it is not known to be written."""
         node = f"{self._node.settings.node}.{self._node.incarnation}"
         path = f"usage/{node}/{self._number:08d}"
         value = unstructure(records)
         api = self._node.api
         result = await asyncio.to_thread(api.put, path, value, 0)
         if not isinstance(result, Refusal):
-            return True
+            return None
         if result.kind in (ErrorKind.CONFLICT, ErrorKind.PLATFORM_UNCERTAIN):
             stored = await asyncio.to_thread(api.get, path)
-            return isinstance(stored, StoredObject)
-        return False
+            if isinstance(stored, StoredObject):
+                return None
+        return result
