Receipts count only from the client that opened a step last

Callers would see: a trainer that was killed and went on from its checkpoint waits for the rest of its step for ever. Cause: a request of the killed client that waits at an entry (up to ten seconds, while the owner is looked for) and reaches the owner behind the successor's opening counts samples as taken that the successor lacks; they are never given out again. Change: a client names itself by a random id when it opens a step and fetches from it; an owner answers another one's fetch with unknown-step, upon which a living client opens the step again. Why it holds: what counts as taken comes from the last opening and from its own client's fetches alone; a late opening of a killed client costs the living one an opening more. Ruled out: the time of an opening as a fence, as trainers' clocks may step. Entries, agents and trainers of this version have to be put in place together, as a message has a field more.

--- a/pistachioglade/agent/_step_run.py
+++ b/pistachioglade/agent/_step_run.py
@@ -73,6 +73,7 @@
     ) -> None:
         self._node = node
         self._message = message
+        self._client_id = message.client_id
         self._fence = fence
         self._loads = loads
         self._ledger = ledger
@@ -106,6 +107,7 @@
 
     def adopt_receipts(self, message: OpenStep) -> None:
         """Take the receipts of a trainer that opens the step again."""
+        self._client_id = message.client_id
         self._newest_version = max(self._newest_version, message.newest_version)
         for index in self.plan.restore(message.receipts):
             self._cancel_everywhere(index)
@@ -284,7 +286,16 @@
         )
 
     async def fetch(self, message: FetchSamples) -> SampleBatch | Refusal:
-        """Give out what the trainer lacks, waiting for the first sample."""
+        """Give out what the trainer lacks, waiting for the first sample.
+
+        Receipts count only from the client that opened the step last: one that was
+        killed may have taken samples that its successor's checkpoint lacks, and a late
+        request of it would keep those from the successor for ever.
+        """
+        if message.client_id != self._client_id:
+            reason = f"step {self.step} was opened by another client; open it again"
+            _log.info("step.other_client", trainer=message.trainer, step=self.step)
+            return refuse(ErrorKind.UNKNOWN_STEP, reason)
         self._newest_version = max(self._newest_version, message.newest_version)
         self._receive(message.receipts)
         self._note_waste(self.plan.reject(message.rejected))
--- a/pistachioglade/messages/_samples.py
+++ b/pistachioglade/messages/_samples.py
@@ -65,6 +65,8 @@
     unreachable_owner: str = ""
     # W3C trace context.
     traceparent: str = ""
+    # Tells a client from the one that went before it with the same checkpoint.
+    client_id: str = ""
 
 
 @attrs.frozen
@@ -137,6 +139,8 @@
     max_samples: int
     # How long to wait for the first sample.
     wait_s: float
+    # Client that opened the step last.
+    client_id: str = ""
 
 
 @attrs.frozen
--- a/pistachioglade/trainer/_client.py
+++ b/pistachioglade/trainer/_client.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator, Sequence
 from types import TracebackType
 from typing import Final
+from uuid import uuid4
 
 import attrs
 
@@ -66,6 +67,8 @@
     ) -> None:
         saved = checkpoint or TrainerCheckpoint()
         self._settings = settings
+        # Differs from that of a client before it that had the same checkpoint.
+        self._id = uuid4().hex
         self._entries = EntryClient(settings.urls, settings.token)
         self._lock = threading.RLock()
         self._newest_version = saved.newest_version
@@ -231,6 +234,7 @@
             "newest_version": self._client.newest_version,
             "receipts": unstructure(receipts),
             "age_s": self._age_s(),
+            "client_id": self._client._id,
         }
         path = f"/v1/steps/{self._step}"
         result = self._client._entries.post(path, fields, timeout_s, patience_s)
@@ -302,6 +306,7 @@
             "newest_version": self._client.newest_version,
             "max_samples": max_samples,
             "wait_s": wait_s,
+            "client_id": self._client._id,
         }
         path = f"/v1/steps/{self._step}/fetch"
         result = self._client._entries.post(path, fields, timeout_s, patience_s)
