Large writes come through by way of another entry's small link

Cause: the home of all jobs wrote its batches by way of another entry; each try had 0.45 s whatever its size, a try that was given up stayed in that entry's link of 30 Mbit/s, and so did the next ones, of all jobs at once. Evidence: batches below 215 kB came through, those of 230 to 380 kB were given up 14 and 15 times, until the home's own way was back (10.8 and 11.5 s after their oldest result); dependency-lost with the same 0.45 s at the three entries on the way, which weren't cut off. Change: the time of a call counts its size (900 kB/s: four passes of a small link); by way of another node large calls go one after the other; a batch that is tried again gets twice the time if other calls were answered meanwhile, and the usual time if none was. Why it holds: what a way can carry it is given time for, and no more than one large call of a node is in it. Ruled out: one longer time for all: what is sent into a silence of the store is never answered, and a job waits for that time.

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -59,6 +59,7 @@
 from ._sample_order import PendingSample, start_order
 from ._staleness import VersionPace, hold_s, is_fresh, will_be_fresh
 from ._step import Dispatch, StepPlan, StepPolicy
+from ._store_calls import TryTime, transfer_time_s
 from ._store_outage import StoreOutage, may_have_lapsed
 from ._takeover import (
     NEIGHBOUR_TIMEOUT_S,
@@ -114,6 +115,7 @@
     "StepPolicy",
     "StepProgress",
     "StoreOutage",
+    "TryTime",
     "VersionPace",
     "capacity_of",
     "choose_for_call",
@@ -157,6 +159,7 @@
     "start_order",
     "steps_to_forget",
     "stream_silence_s",
+    "transfer_time_s",
     "try_time_s",
     "usual_pace_s",
     "wave_delay_s",
--- a/pistachioglade/jobs/_result_writer.py
+++ b/pistachioglade/jobs/_result_writer.py
@@ -14,6 +14,7 @@
     Mechanism,
     Policy,
     StepProgress,
+    TryTime,
     fitting_count,
     write_time_s,
 )
@@ -195,11 +196,12 @@
         number = state.next_batch
         name = str(RecordName(state.id, RecordKind.BATCH, number))
         tried: set[str] = set()
+        try_time = TryTime()
         while state.next_batch == number and self._unwritten:
             finished, batch = self._next_batch()
             tried.add(batch.writer)
             stored = await self._store.create(
-                RESULT_KIND, name, encode_batch(batch), within_s=0.0
+                RESULT_KIND, name, encode_batch(batch), within_s=0.0, try_time=try_time
             )
             if isinstance(stored, Entry):
                 in_force = decode_batch(stored.value)
--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -4,10 +4,17 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable, Iterator, Sequence
+from functools import partial
 from itertools import chain
 from typing import Any, Final
 
-from ..decisions import FULL_POLICY, Policy, StoreOutage
+from ..decisions import (
+    FULL_POLICY,
+    Policy,
+    StoreOutage,
+    TryTime,
+    transfer_time_s,
+)
 from ..errors import ErrorKind, Refusal, refuse
 from ..http1 import Pool, Response
 from ..logs import logger
@@ -39,6 +46,8 @@
 _DOUBT_TIMEOUT_S: Final = 0.45
 #: Time between two tries of a call that was refused or lost.
 _PAUSE_S: Final = 0.15
+#: Body from which a call is large: it takes 0.1 s of a small link, passed four times.
+_LARGE_BYTES: Final = 65_536
 #: Time for which the direct way is left alone after it failed.
 _DIRECT_REST_S: Final = 1.0
 
@@ -80,6 +89,8 @@
         self._failed_s: float | None = None
         # Ways around a direct path that fails, in the order in which to try them.
         self.relays: Callable[[], Sequence[Relay]] = tuple
+        # Held by a large call that goes by way of another node.
+        self._around = asyncio.Lock()
         self._outage = StoreOutage()
         # When the store last answered this node directly; None before that.
         self.answered_s: float | None = None
@@ -222,7 +233,22 @@
 
     def _known_relays(self) -> Iterator[Relay]:
         """Yield the ways around, as known when the first of them is asked for."""
-        yield from self.relays()
+        yield from (partial(self._call_around, relay) for relay in self.relays())
+
+    async def _call_around(
+        self, relay: Relay, call: StoreCall, timeout_s: float
+    ) -> Response | Refusal:
+        """Make a call by way of another node, of large ones one after the other.
+
+        Together they would share its link: each is given up shortly before its answer,
+        sent anew, and none comes through.
+        """
+        if len(call.body) < _LARGE_BYTES:
+            return await relay(call, timeout_s)
+        async with self._around:
+            if self.is_reached:
+                return refuse(ErrorKind.LINK_NOT_OPEN, "this node's own way is back")
+            return await relay(call, timeout_s)
 
     def _ways(self) -> Iterator[Relay]:
         """Return the ways for a call, the likeliest first."""
@@ -231,7 +257,10 @@
         return chain((self.direct,), self._known_relays())
 
     async def exchange(self, call: StoreCall, timeout_s: float) -> Response | Refusal:
-        """Make a call by the first way that takes it."""
+        """Make a call by the first way that takes it.
+
+        ``timeout_s`` is the time for an answer; what the body takes comes on top.
+        """
         # A call that was sent and lost may have been made: a write isn't sent again.
         return await self._ask_each(self._ways(), call, timeout_s, may_repeat=False)
 
@@ -244,9 +273,10 @@
     ) -> Response | Refusal:
         """Make a call by each way until one answers, and note whether any did."""
         begun_s = asyncio.get_running_loop().time()
+        limit_s = timeout_s + transfer_time_s(len(call.body))
         answer: Response | Refusal = refuse(ErrorKind.PLATFORM_UNAVAILABLE, "no way")
         for way in ways:
-            answer = await way(call, timeout_s)
+            answer = await way(call, limit_s)
             if _is_answered(answer):
                 self._answered_somehow(begun_s)
                 return answer
@@ -314,18 +344,29 @@
             self._log.error("store-objects-nameless", kind=kind, count=read.nameless)
 
     async def create(
-        self, kind: str, name: str, value: Any, within_s: float
+        self,
+        kind: str,
+        name: str,
+        value: Any,
+        within_s: float,
+        try_time: TryTime | None = None,
     ) -> Entry | Refusal:
         """Create an object and return the one in force, this or an earlier one.
 
         Tries again after lost answers until ``within_s`` is over; then a refusal
-        of kind PLATFORM_UNCERTAIN tells that the object may come to exist.
+        of kind PLATFORM_UNCERTAIN tells that the object may come to exist. A caller
+        that goes on trying keeps ``try_time`` over its tries.
         """
         call = create_call(kind, name, value)
+        try_time = try_time or TryTime()
         deadline_s = asyncio.get_running_loop().time() + within_s
         is_unsure = False
         while True:
-            answer = await self.exchange(call, self._repeatable_s)
+            begun_s = asyncio.get_running_loop().time()
+            limit_s = try_time.limit_s(self._repeatable_s)
+            answer = await self.exchange(call, limit_s)
+            if isinstance(answer, Refusal):
+                try_time.lost(self.worked_s is not None and self.worked_s > begun_s)
             refusal = (
                 answer if isinstance(answer, Refusal) else refusal_of(answer, True)
             )
