The trainer's library logs by the standard library's logging

Change: logging.getLogger, which a service handles as it likes, standard error by default. Measured: no behaviour; tests as before.

--- a/pistachioglade/trainer/_recorder.py
+++ b/pistachioglade/trainer/_recorder.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import logging
 import threading
 import time
 from typing import Final, Protocol
 
 from ..errors import Refusal
-from ..telemetry import logger
 from ._checkpoint import ClosedStepCheckpoint
 
-_log = logger(__name__)
+#: The standard library's, as this runs inside a training service, whose output it is
+#: not ours to write to.
+_log = logging.getLogger(__name__)
 
 #: Time that one step's owner is given to answer; an entry looks for the owner for 10 s.
 _ASK_TIMEOUT_S: Final = 15.0
@@ -117,12 +119,14 @@
         try:
             answer = closed.ask_recorded(_ASK_TIMEOUT_S)
         except Exception:  # an answer that can't be read must not end the thread
-            _log.exception("step.record_unreadable", step=closed.step)
+            _log.exception("step.record_unreadable step=%d", closed.step)
             return False
         if isinstance(answer, Refusal):
-            kind, reason = answer.kind.value, answer.reason
             _log.warning(
-                "step.not_recorded", step=closed.step, kind=kind, reason=reason
+                "step.not_recorded step=%d kind=%s reason=%s",
+                closed.step,
+                answer.kind.value,
+                answer.reason,
             )
             return False
         if answer:
