--- a/pistachioglade/load/_fault_run.py
+++ b/pistachioglade/load/_fault_run.py
@@ -254,6 +254,17 @@
     return text.replace("hedge_percent: 5", f"hedge_percent: {5 + number % 90}")
 
 
+def unused_folder(parent: Path, name: str) -> Path:
+    """Return a folder that doesn't exist yet, ``name`` or ``name-2`` and so on.
+
+    In the folder of an earlier run the stand-ins' records of that run would count for
+    this one, and each call would look as if it had run twice.
+    """
+    numbered = (parent / f"{name}-{number}" for number in itertools.count(2))
+    folders = itertools.chain((parent / name,), numbered)
+    return next(folder for folder in folders if not folder.exists())
+
+
 def run_faults(
     name: str, seed: int, duration_s: float, gap_s: float, folder: str | None
 ) -> FaultResult:
@@ -263,7 +274,7 @@
     if config is None:
         raise click.ClickException("; ".join(map(str, faults)))
     with tempfile.TemporaryDirectory(prefix="pistachioglade-") as temporary:
-        run_folder = Path(folder or temporary) / f"seed-{seed}"
+        run_folder = unused_folder(Path(folder or temporary), f"seed-{seed}")
         with start_cluster(run_folder, deployment) as cluster:
             cluster.apply(text)
             return _Run(cluster, config, text, seed).run(duration_s, gap_s)
