Which run of an instance an entry tells of is decided in decisions/

Change: run_of in decisions/_instance_runs.py with its four outcomes; the view acts on them. No behaviour.

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -28,6 +28,7 @@
     should_move,
     usual_pace_s,
 )
+from ._instance_runs import InstanceRun, run_of
 from ._job_home import capacity_of, home_key, home_of
 from ._job_retention import may_forget
 from ._kept_steps import FinishedStep, steps_to_forget
@@ -99,6 +100,7 @@
     "FinishedStep",
     "GroupHomes",
     "InstanceRecord",
+    "InstanceRun",
     "KeyGate",
     "LeaseObserver",
     "Mechanism",
@@ -149,6 +151,7 @@
     "remembered_places",
     "rendezvous_order",
     "restart_pause_s",
+    "run_of",
     "save_interval_s",
     "should_load",
     "should_move",
--- /dev/null
+++ b/pistachioglade/decisions/tests/test_instance_runs.py
@@ -0,0 +1,24 @@
+"""Runs of an instance, as a table."""
+
+from __future__ import annotations
+
+import pytest
+
+from .. import InstanceRun, run_of
+
+
+@pytest.mark.parametrize(
+    ("known_born_ms", "told_born_ms", "expected"),
+    [
+        (0, 0, InstanceRun.KNOWN),
+        (0, 7, InstanceRun.KNOWN),
+        (7, 7, InstanceRun.KNOWN),
+        (7, 8, InstanceRun.LATER),
+        (8, 7, InstanceRun.EARLIER),
+        (7, 0, InstanceRun.UNNAMED),
+    ],
+)
+def test_which_run_an_entry_tells_of(
+    known_born_ms: int, told_born_ms: int, expected: InstanceRun
+) -> None:
+    assert run_of(known_born_ms, told_born_ms) is expected
--- a/pistachioglade/forwarding/_fleet_view.py
+++ b/pistachioglade/forwarding/_fleet_view.py
@@ -10,9 +10,11 @@
 from ..decisions import (
     FULL_POLICY,
     InstanceRecord,
+    InstanceRun,
     Mechanism,
     Policy,
     may_have_lapsed,
+    run_of,
 )
 from ..errors import ErrorKind, Refusal, refuse
 from ..fleet import Configuration, Instance
@@ -21,15 +23,15 @@
 from ..platform import Entry, decode_configuration, decode_instance, names
 
 
-def _judge_run(known: Instance, read: Instance) -> Instance | Refusal:
-    """Return an entry of a known instance, unless it is of no run or an earlier one."""
-    if not known.born_ms or read.born_ms >= known.born_ms:
-        return read
-    if not read.born_ms:
+def _refuse_run(read: Instance, run: InstanceRun) -> Refusal | None:
+    """Return why an entry doesn't count; None if it tells of a run that may be on."""
+    if run is InstanceRun.UNNAMED:
         reason = f"instance {read.id:.80}: an entry of no run"
         return refuse(ErrorKind.UNREADABLE, reason)
-    reason = f"instance {read.id:.80}: a late entry of run {read.born_ms}"
-    return refuse(ErrorKind.CONFLICT, reason)
+    if run is InstanceRun.EARLIER:
+        reason = f"instance {read.id:.80}: a late entry of run {read.born_ms}"
+        return refuse(ErrorKind.CONFLICT, reason)
+    return None
 
 
 class FleetView:
@@ -84,8 +86,10 @@
             return
         read = decode_instance(entry.name, entry.value)
         known = self.instances.get(entry.name)
+        run = InstanceRun.KNOWN
         if not isinstance(read, Refusal) and known is not None:
-            read = _judge_run(known, read)
+            run = run_of(known.born_ms, read.born_ms)
+            read = _refuse_run(read, run) or read
         if isinstance(read, Refusal):
             self._log.error("instance-refused", reason=read.reason)
             if known is not None and read.kind is ErrorKind.UNREADABLE:
@@ -94,7 +98,7 @@
             return
         self._lapsed.pop(read.id, None)
         self._unreadable.discard(read.id)
-        if known is not None and read.born_ms > known.born_ms > 0:
+        if known is not None and run is InstanceRun.LATER:
             self._end_run(known, read)
             known = None
         if known is not None and known.is_leaving:
