Soak: SIGHUP comes as soon as a process covers it, not by a guess of its start

The soak took 0.25 s for the time in which an interpreter reaches a program's first line, also beside load. Change: the soak reads the process's signal masks and sends the signal in the moment in which it is covered, sooner than before, or after 5 s in any case, so that a program that never covers it still fails. Ruled out: a longer guess, which would never meet the start.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 from functools import singledispatch
+from pathlib import Path
 from typing import Any, Final
 
 import attrs
@@ -17,8 +18,9 @@
 #: Instance faults that a fault scripts, and how many requests each may meet.
 _SCRIPTS: Final = ("silent", "cut", "wrong_id", "refused", "failed", "unsigned")
 _MOST_SCRIPTED: Final = 6
-#: Time in which an interpreter has reached a program's first line, also beside load.
-_INTERPRETER_S: Final = 0.25
+#: Time in which an interpreter has reached a program's first line, on any machine.
+_INTERPRETER_S: Final = 5.0
+_MASK_PAUSE_S: Final = 0.005
 
 
 @attrs.frozen
@@ -133,6 +135,17 @@
     return world.entries.get(name) or world.engines[name]
 
 
+def _covers_hangup(pid: int) -> bool:
+    """Whether a process ignores or handles SIGHUP by now, as its masks tell."""
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return False
+    masks = [line.split()[1] for line in lines if line.startswith(("SigIgn", "SigCgt"))]
+    bit = 1 << (signal.SIGHUP - 1)
+    return any(int(mask, 16) & bit for mask in masks)
+
+
 @singledispatch
 async def play(fault: Any, world: World) -> None:
     """Bring a fault about, and let it heal."""
@@ -228,7 +241,10 @@
     program = _program(world, fault.name)
     process = program.process.process
     # Before a program's first line the signal still ends the process; that part of
-    # the interpreter's start is nobody's to cover.
-    is_young = asyncio.get_running_loop().time() - program.begun_s < _INTERPRETER_S
-    if process is not None and process.returncode is None and not is_young:
-        process.send_signal(signal.SIGHUP)
+    # the interpreter's start is nobody's to cover, and as long as the machine makes it.
+    while process is not None and process.returncode is None:
+        age_s = asyncio.get_running_loop().time() - program.begun_s
+        if _covers_hangup(process.pid) or age_s > _INTERPRETER_S:
+            process.send_signal(signal.SIGHUP)
+            return
+        await asyncio.sleep(_MASK_PAUSE_S)
