--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -126,7 +126,7 @@
                 call.method, call.target, fields, call.body, timeout_s
             )
         except TimeoutError:
-            reason = f"store gave no answer in {timeout_s} s"
+            reason = f"store gave no answer in {timeout_s:.2f} s"
             answer = refuse(ErrorKind.UPSTREAM_LOST, reason)
         self._note(answer, begun_s)
         self._note_unanswered(call, answer, begun_s)
