A trainer is told of a sample that can't be made

Callers would see: a trainer waits for the last sample of a step for ever and is told nothing, while agents make it anew each half second. Cause: a fault of the program in the making of a sample was taken for trouble that may pass. Change: once a sample's making has ended in such a fault eight times, its step starts nothing more; what is made is given out, then the fetch is refused with the reason. Other failures of making are tried for as long as before. Ruled out: a bound for all failures: an engine that is gone for a minute would end steps.

--- a/pistachioglade/agent/_step_run.py
+++ b/pistachioglade/agent/_step_run.py
@@ -17,6 +17,7 @@
     PlacementPolicy,
     StepPlan,
     StepPolicy,
+    is_sample_hopeless,
     stable_hash,
 )
 from ..errors import ErrorKind, Refusal, refuse
@@ -96,6 +97,10 @@
         self._changed = asyncio.Event()
         self._closed = False
         self._refusals: Counter[str] = Counter()
+        # Times that the making of a sample ended in a fault of the program, by index.
+        self._faults: Counter[int] = Counter()
+        # Why the step can't be made whole; None as long as it may.
+        self._hopeless: Refusal | None = None
         self._wasted_tokens: Counter[str] = Counter()
         self._note_record()
         self._task = node.spawn(self._run())
@@ -178,6 +183,8 @@
         trainer = self._trainer()
         if trainer is None or not self._may_start(self.step):
             return
+        if self._hopeless is not None:
+            return
         if self._is_held(trainer):
             return
         agents = {
@@ -247,10 +254,19 @@
             return
         self._refusals[refusal.kind.value] += 1
         _log.info("sample.failed", index=index, agent=agent, reason=refusal.reason)
+        if refusal.kind is ErrorKind.INTERNAL:
+            self._note_fault(index, refusal)
         if refusal.kind is not ErrorKind.TOO_STALE:
             rest_s = refusal.retry_after_s or _REST_S
             self._loads.rest(agent, time.monotonic() + rest_s)
 
+    def _note_fault(self, index: int, refusal: Refusal) -> None:
+        self._faults[index] += 1
+        if self._hopeless is None and is_sample_hopeless(self._faults[index]):
+            reason = f"sample {index} can't be made: {refusal.reason}"
+            _log.error("step.hopeless", step=self.step, index=index, reason=reason)
+            self._hopeless = refuse(ErrorKind.INTERNAL, reason)
+
     def _cancel(self, agent: str, index: int) -> None:
         member = self._node.board.read(MEMBERS).get(agent)
         if member is None:
@@ -306,7 +322,11 @@
             self._drop_stale()
             samples = self.plan.ready(message.max_samples)
             is_over = self._closed or time.monotonic() >= deadline_s
-            if samples or self.plan.is_complete or is_over:
+            if samples or self.plan.is_complete:
+                return self._batch(samples)
+            if self._hopeless is not None and not self.plan.has_running:
+                return self._hopeless
+            if is_over:
                 return self._batch(samples)
             await self._next_change(deadline_s)
 
--- a/pistachioglade/agent/tests/stepping.py
+++ b/pistachioglade/agent/tests/stepping.py
@@ -97,10 +97,15 @@
 
     def __init__(self) -> None:
         self._made = 0
+        # Samples whose making always fails, by step and index, and why.
+        self.failing: dict[tuple[int, int], Refusal] = {}
 
     async def call(self, address: str, message: Any, timeout_s: float) -> Any:
         if not isinstance(message, Generate):
             return refuse(ErrorKind.NOT_FOUND, type(message).__name__)
+        failure = self.failing.get((message.step, message.index))
+        if failure is not None:
+            return failure
         self._made += 1
         spans = (VersionSpan(message.min_version, 3),)
         copy = f"engines.1.{self._made}"
@@ -170,7 +175,7 @@
 
     def __init__(self) -> None:
         self.api = MemoryApi()
-        self._engines = _Engines()
+        self.engines = _Engines()
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
@@ -194,7 +199,7 @@
             self._node.end()
             self._unreachable = self._node.settings.node
         self._owners += 1
-        self._node = _Node(f"agent-{self._owners}", self.api, self._engines)
+        self._node = _Node(f"agent-{self._owners}", self.api, self.engines)
         settings = AgentSettings(common=None, upstream="lm", instances=())  # type: ignore[arg-type]
         self._owner = StepOwner(settings, self._node, _Rollouts())  # type: ignore[arg-type]
 
--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -55,7 +55,7 @@
     fitting_count,
     write_time_s,
 )
-from ._retry import RetryBudget, may_repeat, may_retry
+from ._retry import RetryBudget, is_sample_hopeless, may_repeat, may_retry
 from ._ring import fingers
 from ._sample_order import PendingSample, start_order
 from ._staleness import VersionPace, hold_s, is_fresh, will_be_fresh
@@ -133,6 +133,7 @@
     "is_fresh",
     "is_hopeless",
     "is_lost",
+    "is_sample_hopeless",
     "is_slow",
     "is_store_fresh",
     "is_storeless",
--- a/pistachioglade/decisions/_retry.py
+++ b/pistachioglade/decisions/_retry.py
@@ -31,6 +31,11 @@
 )
 
 
+#: Times that a sample's making may end in a fault of the program: several agents have
+#: tried by then, and the fault is the sample's own.
+_MOST_SAMPLE_FAULTS: Final = 8
+
+
 class RetryBudget:
     """Holds retries to a fixed part of the first tries."""
 
@@ -66,3 +71,11 @@
     if refusal.retry_after_s is None or refusal.kind is ErrorKind.UNKNOWN_STEP:
         return False
     return faults_in_row < _MOST_FAULTS
+
+
+def is_sample_hopeless(faults: int) -> bool:
+    """Return whether a sample is made no more, after so many faults of the program.
+
+    Other failures are trouble of an engine or a link, which may pass.
+    """
+    return faults >= _MOST_SAMPLE_FAULTS
--- a/pistachioglade/decisions/_step.py
+++ b/pistachioglade/decisions/_step.py
@@ -124,6 +124,11 @@
         """What the trainer has taken, by index."""
         return tuple(self._receipts[index] for index in sorted(self._receipts))
 
+    @property
+    def has_running(self) -> bool:
+        """Whether any copy is being made."""
+        return bool(self._running)
+
     def has_copy(self, index: int) -> bool:
         """Return whether a copy of a sample is ready or was taken."""
         return index in self._ready or index in self._receipts
