A step that is opened again is counted on

Callers saw nothing; managers would: the report lost the refusals and wasted tokens of a step that its owner opened again, behind a lost lease or a trainer's return to its checkpoint, since its record was written anew with counts from nought. Change: the ledger remembers a step's counts, some hundred bytes a step; the new run begins with them.

--- a/pistachioglade/agent/_ledger.py
+++ b/pistachioglade/agent/_ledger.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from typing import Any, Final
 
+import attrs
+
 from ..backing import StoredObject
 from ..controllers import Node
 from ..errors import ErrorKind, Refusal
@@ -20,6 +23,16 @@
 _WRITE_INTERVAL_S: Final = 2.0
 
 
+@attrs.frozen
+class StepCounts:
+    """What an owner has counted of a step, beside its receipts."""
+
+    # Error kind to how often a sample's making was refused or failed.
+    refusals: Mapping[str, int] = attrs.field(factory=dict)
+    # Reason to tokens that were made and not delivered.
+    wasted_tokens: Mapping[str, int] = attrs.field(factory=dict)
+
+
 class Ledger:
     """The step records of one owner that are not written yet."""
 
@@ -27,6 +40,8 @@
         self._node = node
         self._pending: dict[str, StepRecord] = {}
         self._versions: dict[str, int] = {}
+        # Counts of each step that was ever noted here, some hundred bytes a step.
+        self._counts: dict[str, StepCounts] = {}
 
     def _path(self, trainer: str, step: int) -> str:
         name = f"{self._node.settings.node}.{self._node.incarnation}"
@@ -34,7 +49,13 @@
 
     def note(self, record: StepRecord) -> None:
         """Keep the newest state of a step for the next batch."""
-        self._pending[self._path(record.trainer, record.step)] = record
+        path = self._path(record.trainer, record.step)
+        self._pending[path] = record
+        self._counts[path] = StepCounts(record.refusals, record.wasted_tokens)
+
+    def counts(self, trainer: str, step: int) -> StepCounts:
+        """Return what was counted of a step that was open here before."""
+        return self._counts.get(self._path(trainer, step), StepCounts())
 
     def is_recorded(self, trainer: str, step: int) -> bool:
         """Return whether the newest state of a step is in the object API."""
--- a/pistachioglade/agent/_step_run.py
+++ b/pistachioglade/agent/_step_run.py
@@ -96,12 +96,14 @@
         self._wake = node.board.signal(MEMBERS, NEWEST)
         self._changed = asyncio.Event()
         self._closed = False
-        self._refusals: Counter[str] = Counter()
+        # A step that was open here before is counted on: its record is written anew.
+        counts = ledger.counts(message.trainer, message.step)
+        self._refusals: Counter[str] = Counter(counts.refusals)
         # Times that the making of a sample ended in a fault of the program, by index.
         self._faults: Counter[int] = Counter()
         # Why the step can't be made whole; None as long as it may.
         self._hopeless: Refusal | None = None
-        self._wasted_tokens: Counter[str] = Counter()
+        self._wasted_tokens: Counter[str] = Counter(counts.wasted_tokens)
         self._note_record()
         self._task = node.spawn(self._run())
 
--- a/pistachioglade/agent/tests/stepping.py
+++ b/pistachioglade/agent/tests/stepping.py
@@ -81,6 +81,11 @@
         self.objects[path] = StoredObject(path, version + 1, value)
         return version + 1
 
+    def refusals(self, step: int) -> dict[str, int]:
+        """Return what the record of a step counts as refused, by error kind."""
+        path = f"ledger/{TRAINER}/{step}/agent-1.1"
+        return unpack_step(self.objects[path].value).refusals
+
     def recorded(self) -> dict[tuple[int, int], str]:
         """Return the copy that the report has of each sample, by step and index."""
         records = [
--- a/pistachioglade/agent/tests/test_owner_records.py
+++ b/pistachioglade/agent/tests/test_owner_records.py
@@ -20,7 +20,7 @@
 import attrs
 import pytest
 
-from ...errors import ErrorKind, Refusal
+from ...errors import ErrorKind, Refusal, refuse
 from ...messages import SampleBatch, structure
 from .stepping import STEP_SAMPLES, TRAINER, Stage
 
@@ -157,3 +157,33 @@
     assert {step for step, _index in stage.api.recorded()} == {2, 3}
     assert [item.state.step for item in client.checkpoint().unrecorded] == [1]
     stage.end()
+
+
+def test_a_step_that_is_opened_again_keeps_its_counts() -> None:
+    """A trainer that goes back to its checkpoint opens a step that was forgotten.
+
+    What users would see: the report tells of no refusals in that step any more. The
+    cause: the owner wrote the step's record anew, with counts that began again.
+    """
+    stage = Stage()
+    client = stage.client()
+    stage.engines.failing[1, 2] = refuse(ErrorKind.UPSTREAM_LOST, "gone", 0.01)
+    with stage.open(client, 1) as opened:
+        assert all(opened.take() for _ in range(STEP_SAMPLES - 1))
+        saved = client.checkpoint().to_json()
+        opened._fetch()
+        del stage.engines.failing[1, 2]
+        assert opened.take() is not None
+    stage.flush()
+    before = stage.api.refusals(1)
+    assert before[ErrorKind.UPSTREAM_LOST.value] >= 1
+    for step in (2, 3, 4):
+        with stage.open(client, step) as later:
+            assert len(list(later)) == STEP_SAMPLES
+        stage.flush()
+    again = stage.client(saved)
+    with stage.open(again, 1) as opened:
+        assert len(list(opened)) == 1
+    stage.flush()
+    assert stage.api.refusals(1) == before
+    stage.end()
