An unreadable answer about a step's record ends no step

Callers would see: an entry's answer that can't be read, to the receipts at a step's end, ends the trainer's loop. Cause: the end of a step asked for its record by itself, where the thread beside it takes each error as that step's own. Change: both ask by Recorder.ask. Measured: trainer/tests/test_unrecorded.py, the new trouble failed before in both of its cases.

--- a/pistachioglade/trainer/_client.py
+++ b/pistachioglade/trainer/_client.py
@@ -182,8 +182,7 @@
             if not self._receipts.is_complete:
                 return
             client._recorder.add(self)
-        if self.ask_recorded(_CLOSE_TIMEOUT_S) is True:
-            client._recorder.drop(self._step)
+        client._recorder.ask(self, _CLOSE_TIMEOUT_S)
         client._recorder.start()
 
     @property
--- a/pistachioglade/trainer/_recorder.py
+++ b/pistachioglade/trainer/_recorder.py
@@ -57,16 +57,34 @@
         with self._lock:
             self._steps[closed.step] = closed
 
-    def drop(self, step: int) -> None:
-        """Forget a step whose record is written."""
-        with self._lock:
-            self._steps.pop(step, None)
-
     def steps(self) -> tuple[ClosedStep, ...]:
         """Return the steps whose record is not known to be written, oldest first."""
         with self._lock:
             return tuple(self._steps[step] for step in sorted(self._steps))
 
+    def ask(self, closed: ClosedStep, timeout_s: float = _ASK_TIMEOUT_S) -> bool:
+        """Ask for one step once; return whether its owner answered.
+
+        A failure is logged and concerns this step alone.
+        """
+        try:
+            answer = closed.ask_recorded(timeout_s)
+        except Exception:  # an answer that can't be read must end nobody's work
+            _log.exception("step.record_unreadable step=%d", closed.step)
+            return False
+        if isinstance(answer, Refusal):
+            _log.warning(
+                "step.not_recorded step=%d kind=%s reason=%s",
+                closed.step,
+                answer.kind.value,
+                answer.reason,
+            )
+            return False
+        if answer:
+            with self._lock:
+                self._steps.pop(closed.step, None)
+        return True
+
     def start(self) -> None:
         """Ask now and then from here on, if there is something to ask for."""
         with self._lock:
@@ -111,24 +129,5 @@
     def _ask_each(self) -> bool:
         """Ask for each step once; return whether none was refused."""
         with self._round:
-            answered = [self._ask(closed) for closed in self.steps()]
+            answered = [self.ask(closed) for closed in self.steps()]
         return all(answered)
-
-    def _ask(self, closed: ClosedStep) -> bool:
-        """Ask for one step; a failure concerns this step alone."""
-        try:
-            answer = closed.ask_recorded(_ASK_TIMEOUT_S)
-        except Exception:  # an answer that can't be read must not end the thread
-            _log.exception("step.record_unreadable step=%d", closed.step)
-            return False
-        if isinstance(answer, Refusal):
-            _log.warning(
-                "step.not_recorded step=%d kind=%s reason=%s",
-                closed.step,
-                answer.kind.value,
-                answer.reason,
-            )
-            return False
-        if answer:
-            self.drop(closed.step)
-        return True
--- a/pistachioglade/trainer/tests/test_unrecorded.py
+++ b/pistachioglade/trainer/tests/test_unrecorded.py
@@ -30,7 +30,7 @@
     """How the first step is answered for once it is closed."""
 
     # Answer to what is asked of its record; None: silence.
-    asked: Refusal | None
+    asked: Any
     # Answer to its being opened again; None: silence.
     opened: Refusal | None = None
 
@@ -64,7 +64,7 @@
         samples = (_sample(),) if fields["max_samples"] else ()
         return _batch(step, samples, is_recorded=self.is_well)
 
-    def _refuse(self, answer: Refusal | None, timeout_s: float) -> Refusal:
+    def _refuse(self, answer: Any, timeout_s: float) -> Any:
         self.is_asked.set()
         if answer is not None:
             return answer
@@ -88,6 +88,7 @@
 _NOT_OPEN = refuse(ErrorKind.UNKNOWN_STEP, "not open here")
 _TROUBLES = {
     "silent": _Trouble(None),
+    "unreadable": _Trouble({"step": "one"}),
     "away": _Trouble(refuse(ErrorKind.LINK_LOST, "no answer")),
     "opening-silent": _Trouble(_NOT_OPEN, None),
     "opening-fault": _Trouble(_NOT_OPEN, refuse(ErrorKind.INTERNAL, "KeyError: 1")),
@@ -114,7 +115,7 @@
 def _take(client: TrainerClient, step: int, taken: threading.Event) -> None:
     with client.open_step(step, (Group("p", 1),), 10) as opened:
         assert [sample.index for sample in opened] == [0]
-        taken.set()
+    taken.set()
 
 
 def _start(client: TrainerClient, step: int) -> threading.Event:
