Soak: a version counts as named once it was sent, and the count never goes back

Cause: two trainers of one model name versions at once; the one that a fault of the store held up ended last and set the count to 7 behind the other's 8. The engines' logs name 6, then 8; the samples are of 8. Why the check is narrowed: by that trace the version had been named. It compares with the newest version that was sent now: what nobody sent still fails, and a naming whose answer the store lost, which the engines may see, doesn't.

--- a/soak/_trainers.py
+++ b/soak/_trainers.py
@@ -179,7 +179,9 @@
         versions = result["weight-versions"]
         if not versions or min(versions) < step.min_version - 1:
             world.violated(f"{what} comes from {versions}, {step.min_version} asked")
-        if max(versions, default=0) > world.named_version:
+        # Sent, not acknowledged: the store may have a version whose answer it lost, and
+        # of two trainers that name versions at once the slower one ends last.
+        if max(versions, default=0) > world.sent_version:
             world.violated(f"{what} comes from a version that nobody named")
 
     async def _end(self, step: Step) -> None:
@@ -198,12 +200,13 @@
     async def _name_version(self) -> None:
         world = self._world
         version = world.named_version + 1
+        world.sent_version = max(world.sent_version, version)
         value = {"model": MODEL, "version": version}
         client = world.store.client()
         made = await client.create(names.VERSION_KIND, MODEL, value, 10.0)
         if getattr(made, "value", None) != value:
             await client.replace(names.VERSION_KIND, MODEL, value, None)
-        world.named_version = version
+        world.named_version = max(world.named_version, version)
 
     # Once all faults have healed.
 
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -80,6 +80,8 @@
         # Newest configuration and weight version that the store has acknowledged.
         self.configuration = 1
         self.named_version = 1
+        # Newest weight version that a trainer ever sent, acknowledged or not.
+        self.sent_version = 1
         # When the last fault had healed, in seconds of the monotonic clock.
         self.healed_s = float("inf")
         # Broken promises, in words.
