Calls around a lost way have a module of their own

Change: WaysAround (store/_around.py) holds the turns of large calls and tells whether one was lost; the client asks it for ways. No behaviour.

--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable, Iterator, Sequence
-from functools import partial
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from itertools import chain
 from typing import Any, Final
 
@@ -37,6 +36,7 @@
     status_call,
     watch_call,
 )
+from ._around import Relay, WaysAround
 
 #: Time for one call: an answer takes 4 ms, and about 0.3 s on the slowest days.
 CALL_TIMEOUT_S: Final = 1.0
@@ -46,8 +46,6 @@
 _DOUBT_TIMEOUT_S: Final = 0.45
 #: Time between two tries of a call that was refused or lost.
 _PAUSE_S: Final = 0.15
-#: Body from which a call is large: it takes 0.1 s of a small link, passed four times.
-_LARGE_BYTES: Final = 65_536
 #: Time for which the direct way is left alone after it failed.
 _DIRECT_REST_S: Final = 1.0
 
@@ -63,9 +61,6 @@
 #: Largest object where the settings name none; the platform's pages say a megabyte.
 MAX_OBJECT_BYTES: Final = 1_048_576
 
-#: Makes a call by way of another node.
-Relay = Callable[[StoreCall, float], Awaitable[Response | Refusal]]
-
 
 class StoreClient:
     """Calls the store, directly or by way of a peer that still reaches it."""
@@ -89,10 +84,7 @@
         self._failed_s: float | None = None
         # Ways around a direct path that fails, in the order in which to try them.
         self.relays: Callable[[], Sequence[Relay]] = tuple
-        # Held by a large call that goes by way of another node.
-        self._around = asyncio.Lock()
-        # When such a call was last lost.
-        self._lost_around_s = float("-inf")
+        self._around = WaysAround(lambda: self.relays(), lambda: self.is_reached)
         self._outage = StoreOutage()
         # When the store last answered this node directly; None before that.
         self.answered_s: float | None = None
@@ -198,7 +190,7 @@
             answered_s = self.answered_s or 0.0
             if asyncio.get_running_loop().time() - answered_s >= _BEAT_S / 2:
                 call = read_call(kind, name, may_be_old=True)
-                ways = chain((self.direct,), self._known_relays())
+                ways = chain((self.direct,), self._around.ways())
                 await self._ask_each(ways, call, self._repeatable_s)
 
     async def look(self, kind: str, name: str, timeout_s: float) -> None:
@@ -233,33 +225,11 @@
         now_s = asyncio.get_running_loop().time()
         return self._failed_s is not None and now_s - self._failed_s < _DIRECT_REST_S
 
-    def _known_relays(self) -> Iterator[Relay]:
-        """Yield the ways around, as known when the first of them is asked for."""
-        yield from (partial(self._call_around, relay) for relay in self.relays())
-
-    async def _call_around(
-        self, relay: Relay, call: StoreCall, timeout_s: float
-    ) -> Response | Refusal:
-        """Make a call by way of another node, of large ones one after the other.
-
-        Together they would share its link: each is given up shortly before its answer,
-        sent anew, and none comes through.
-        """
-        if len(call.body) < _LARGE_BYTES:
-            return await relay(call, timeout_s)
-        async with self._around:
-            if self.is_reached:
-                return refuse(ErrorKind.LINK_NOT_OPEN, "this node's own way is back")
-            answer = await relay(call, timeout_s)
-            if isinstance(answer, Refusal):
-                self._lost_around_s = asyncio.get_running_loop().time()
-            return answer
-
     def _ways(self) -> Iterator[Relay]:
         """Return the ways for a call, the likeliest first."""
         if self._rests():
-            return chain(self._known_relays(), (self.direct,))
-        return chain((self.direct,), self._known_relays())
+            return chain(self._around.ways(), (self.direct,))
+        return chain((self.direct,), self._around.ways())
 
     async def exchange(self, call: StoreCall, timeout_s: float) -> Response | Refusal:
         """Make a call by the first way that takes it.
@@ -371,7 +341,8 @@
             limit_s = try_time.limit_s(self._repeatable_s)
             answer = await self.exchange(call, limit_s)
             if isinstance(answer, Refusal):
-                try_time.lost(self._is_way_slow(call, begun_s))
+                has_worked = self.worked_s is not None and self.worked_s > begun_s
+                try_time.lost(has_worked and self._around.has_lost(call, begun_s))
             refusal = (
                 answer if isinstance(answer, Refusal) else refusal_of(answer, True)
             )
@@ -394,16 +365,6 @@
         )
         return refuse(kind_left, refusal.reason)
 
-    def _is_way_slow(self, call: StoreCall, begun_s: float) -> bool:
-        """Whether a call that was lost may have needed more time than it had.
-
-        A small one needs none to speak of, and a node's own way is filled by nobody
-        else: there the store has lost the answer, and a longer wait for it is in vain.
-        """
-        has_worked = self.worked_s is not None and self.worked_s > begun_s
-        was_around = self._lost_around_s >= begun_s
-        return has_worked and was_around and len(call.body) >= _LARGE_BYTES
-
     async def replace(
         self, kind: str, name: str, value: Any, revision: int | None
     ) -> Entry | Refusal:
