An engine without a live process beside it is ordered by an entry

Cause: only the program beside an engine gave it orders. On a fleet without machines beside engines ("0 orders, 0 loads") nothing of a step could run from the third version on; the same held for an engine whose own process is dead, frozen or cut off.

Change: who orders an engine is decided. The process beside it takes the lease on its orders once and keeps it; while it doesn't answer, the entry that announces versions tells the entry that attends the engine (rendezvous over the entries), which takes the lease by a conditional write, waits out the turn of the holder before, and confirms the lease by a conditional write before each order. The revision of the lease is the fence. Where engines don't check fences, the lease of a process beside one is never taken. A stopping entry releases its leases; an entry that is told of an engine which a living one holds leaves it there. What was lost is announced again each 2 s. Orders moved from the engine's program to weights/; the "herald" is an announcer.

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -18,6 +18,12 @@
     should_save,
 )
 from ._choice import CallChooser, Candidate, ChooserSettings
+from ._engine_orders import (
+    ORDER_WINDOW_S,
+    attendant_of,
+    first_order_wait_s,
+    may_take_orders,
+)
 from ._fairness import FairQueue
 from ._hashing import rendezvous_order, stable_hash
 from ._instance_choice import (
@@ -84,6 +90,7 @@
     "LEAST_SAVED_EVENTS",
     "MAX_LAG",
     "NEIGHBOUR_TIMEOUT_S",
+    "ORDER_WINDOW_S",
     "PROBE_INTERVAL_S",
     "PROBE_TIMEOUT_S",
     "RELAY_LOOK_S",
@@ -119,12 +126,14 @@
     "StoreOutage",
     "TryTime",
     "VersionPace",
+    "attendant_of",
     "capacity_of",
     "choose_for_call",
     "choose_for_sample",
     "failures_in_a_row",
     "fetch_sources",
     "fingers",
+    "first_order_wait_s",
     "fitting_count",
     "heir_of",
     "hold_s",
@@ -141,6 +150,7 @@
     "may_have_lapsed",
     "may_repeat",
     "may_retry",
+    "may_take_orders",
     "may_try_again",
     "neighbour_of",
     "parse_policy",
--- a/pistachioglade/messages/__init__.py
+++ b/pistachioglade/messages/__init__.py
@@ -34,6 +34,7 @@
 from ._entries import (
     AskHome,
     BatchRecord,
+    EngineUnattended,
     FetchResults,
     FetchSent,
     FetchTexts,
@@ -80,6 +81,7 @@
     "Digest",
     "DigestReply",
     "DrainNode",
+    "EngineUnattended",
     "Envelope",
     "FetchChunk",
     "FetchResults",
--- a/pistachioglade/messages/_entries.py
+++ b/pistachioglade/messages/_entries.py
@@ -47,6 +47,18 @@
     version: int
 
 
+@attrs.frozen
+class EngineUnattended:
+    """Tell an entry of a named version whose engine has no live process beside it."""
+
+    # Id of the engine.
+    instance_id: str
+    # Model.
+    model: str
+    # Version.
+    version: int
+
+
 @attrs.frozen
 class StoredRecord:
     """Tell the node that runs a job of an object that the store has taken."""
--- a/pistachioglade/platform/_engine_calls.py
+++ b/pistachioglade/platform/_engine_calls.py
@@ -51,6 +51,11 @@
     return int(text) if text and text.isdigit() else None
 
 
+def expected_instance_fields(instance_id: str) -> Fields:
+    """Return the field that only the named instance takes a call with."""
+    return ((names.EXPECTED_INSTANCE, instance_id),)
+
+
 def version_fields(version: int) -> Fields:
     """Return the field that ties a request to one weight version."""
     return ((names.EXPECTED_VERSION, str(version)),)
@@ -83,6 +88,11 @@
     return head.status == 421 or head.field(names.NOT_EXECUTED) is not None
 
 
+def is_misdirected(head: ResponseHead | Response) -> bool:
+    """Whether the answer is of an instance that the request isn't for."""
+    return head.status == 421
+
+
 def is_signed(head: ResponseHead | Response) -> bool:
     """Whether the answer bears the instance's signature."""
     return head.field(names.SIGNATURE) is not None
--- a/pistachioglade/platform/_settings.py
+++ b/pistachioglade/platform/_settings.py
@@ -13,6 +13,9 @@
 #: Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE: Final = "PISTACHIOGLADE_CONFIG"
 
+#: Least time between two holders' orders where the settings name none.
+_DEFAULT_LEASE_S: Final = 3.0
+
 
 @attrs.frozen
 class Address:
@@ -67,6 +70,10 @@
     link_mbps: float
     # Memory of the machine, in megabytes.
     memory_mb: int
+    # Least time between the orders of two holders to one engine, in seconds.
+    lease_s: float = _DEFAULT_LEASE_S
+    # Whether engines refuse orders whose fencing token is lower than an earlier one.
+    checks_fences: bool = False
 
 
 def load_settings(path: Path) -> ProcessSettings | Refusal:
@@ -108,6 +115,8 @@
         cpu_share=_number(fields, "limits.cpu-share"),
         link_mbps=_number(fields, "limits.link-mbps"),
         memory_mb=int(_number(fields, "limits.memory-mb")),
+        lease_s=_lease_s(fields),
+        checks_fences=fields.get("bounds.fencing-enforced") == "true",
     )
 
 
@@ -132,6 +141,11 @@
         raise _FieldError(f"{name}: {text!r} is not a number") from None
 
 
+def _lease_s(fields: Mapping[str, str]) -> float:
+    name = "bounds.lease-duration-ms"
+    return _number(fields, name) / 1000.0 if name in fields else _DEFAULT_LEASE_S
+
+
 def _address(fields: Mapping[str, str], name: str) -> Address | None:
     text = fields.get(name, "")
     if not text:
--- a/pistachioglade/serving/_engine_program.py
+++ b/pistachioglade/serving/_engine_program.py
@@ -1,50 +1,34 @@
-"""The program beside a model engine: the only one that gives it orders.
-
-With one holder an engine there is no lease to wait for and no turn to take: a process
-that starts again is the same holder, and a new machine comes with a new engine.
-"""
+"""The program beside a model engine, which gives it its orders while it lives."""
 
 from __future__ import annotations
 
 import asyncio
+import secrets
 import signal
 from typing import Any, Final
 
-from ..decisions import (
-    FULL_POLICY,
-    Mechanism,
-    Policy,
-    rank_of,
-    remembered_places,
-    should_load,
-)
+from ..decisions import FULL_POLICY, Mechanism, Policy, rank_of, remembered_places
 from ..errors import ErrorKind, Refusal, refuse
 from ..fleet import Instance
-from ..http1 import Pool, Response
+from ..http1 import Pool
 from ..links import Identity, LinkServer, Peer
 from ..logs import logger
-from ..messages import Acknowledged, VersionNamed
+from ..messages import Acknowledged, Probe, VersionNamed
 from ..metrics import Metrics
 from ..platform import (
     Address,
-    EngineState,
     Entry,
     ProcessSettings,
-    decode_engine_state,
     decode_instance,
     decode_version,
-    encode_weight_order,
     names,
 )
 from ..store import StoreClient
 from ..tasks import Supervisor
+from ..weights import EngineOrders, OrderLease, OrderStep, Progress
 from ._secret import SHARED_SECRET
 from ._settings_watch import SettingsWatch
 
-#: Fencing token of this holder: there is never another one.
-_FENCE: Final = 1
-#: Time for one call to the engine on the same machine.
-_CALL_TIMEOUT_S: Final = 1.0
 #: Time between two looks at the named versions; an entry tells them sooner.
 _VERSIONS_S: Final = 2.0
 #: Time between two looks at an engine that is behind or being loaded.
@@ -52,11 +36,18 @@
 #: Time between two looks at an engine that is up to date; an engine that restarted
 #: behind an order shows itself by then. A report on its own machine is free.
 _IDLE_LOOK_S: Final = 2.0
+#: Longest pause behind a refused lease.
+_LONGEST_PAUSE_S: Final = 1.0
 #: Time for which an engine's place is believed: engines come and go in seconds, and
 #: two that load out of turn for once cost one paid load.
 _RANK_S: Final = 4.0
 
 
+def _pause_s(step: OrderStep) -> float:
+    usual_s = _IDLE_LOOK_S if step.progress is Progress.CURRENT else _LOOK_S
+    return max(usual_s, min(_LONGEST_PAUSE_S, step.wait_s))
+
+
 def _pair(address: Address) -> tuple[str, int]:
     return address.host, address.port
 
@@ -67,27 +58,37 @@
     def __init__(
         self, watch: SettingsWatch, metrics: Metrics, policy: Policy = FULL_POLICY
     ) -> None:
-        self._skips = policy.uses(Mechanism.SKIPPED_VERSIONS)
         settings = watch.settings
         self._watch = watch
         watch.on_change.append(self._follow_settings)
         assert settings.engine is not None
         self._settings = settings
         self._log = logger(__name__)
-        self._engine = Pool(settings.engine.host, settings.engine.port)
-        self._host = (("Host", str(settings.engine)),)
         self._store = StoreClient(
             settings.store.host, settings.store.port, metrics, policy=policy
         )
+        lease = OrderLease(
+            self._store,
+            str(settings.engine),
+            settings.node,
+            secrets.token_hex(4),
+            True,
+            settings.lease_s,
+            settings.checks_fences,
+        )
+        self._orders = EngineOrders(
+            Pool(settings.engine.host, settings.engine.port),
+            settings.node,
+            lease,
+            self._rank,
+            policy.uses(Mechanism.SKIPPED_VERSIONS),
+        )
         identity = Identity(settings.node, SHARED_SECRET)
         self._links = LinkServer(identity, self._answer)
-        self._wanted: dict[str, int] = {}
         self._last_rank = 0
         self._ranked_s = float("-inf")
         # When each engine of the upstream was last listed, by its address.
         self._places_s: dict[str, float] = {}
-        # Run of the engine that was last seen; 0 before any, or if it doesn't say.
-        self._born_ms = 0
         self._has_news = asyncio.Event()
         self._is_leaving = asyncio.Event()
         # Work that is given up ends the process in order: the platform starts it anew.
@@ -114,15 +115,16 @@
         self._take_version(*named, source="store")
 
     async def _answer(self, message: Any, peer: Peer) -> Any:
-        """Answer an entry that tells of a version."""
+        """Answer an entry that tells of a version, or asks whether this lives."""
+        if isinstance(message, Probe):
+            return Acknowledged()
         if not isinstance(message, VersionNamed):
             return refuse(ErrorKind.BAD_REQUEST, f"not for engines: {message!r:.80}")
         self._take_version(message.model, message.version, source=peer.node)
         return Acknowledged()
 
     def _take_version(self, model: str, version: int, source: str) -> None:
-        if version > self._wanted.get(model, 0):
-            self._wanted[model] = version
+        if self._orders.want(model, version):
             self._log.info("version-named", model=model, version=version, source=source)
             self._has_news.set()
 
@@ -151,45 +153,14 @@
 
     async def _follow(self) -> None:
         while True:
-            is_current = await self._look()
+            step = await self._orders.step()
             self._has_news.clear()
             try:
-                async with asyncio.timeout(_IDLE_LOOK_S if is_current else _LOOK_S):
+                async with asyncio.timeout(_pause_s(step)):
                     await self._has_news.wait()
             except TimeoutError:
                 continue
 
-    async def _look(self) -> bool:
-        """Bring the engine one step nearer; return whether it is up to date."""
-        state = await self._state()
-        if isinstance(state, Refusal):
-            self._log.warning("engine-unreadable", reason=state.reason)
-            return False
-        if state.born_ms != self._born_ms:
-            # Orders go by each report's own count: a new run needs no more.
-            self._log.info("engine-run", born_ms=state.born_ms, orders=state.orders)
-            self._born_ms = state.born_ms
-        if not any(
-            state.versions.get(model, version) < version
-            for model, version in self._wanted.items()
-        ):
-            return True
-        rank = await self._rank()
-        models = sorted(state.versions)
-        due = [
-            (model, version)
-            for model, version in self._wanted.items()
-            if model in state.versions
-            and (
-                not self._skips
-                or should_load(rank, models, model, version, state.versions[model])
-            )
-            and version > state.versions[model]
-        ]
-        if due and not state.is_busy:
-            await self._order(state, *due[0])
-        return not due
-
     async def _rank(self) -> int:
         """Return this engine's place in its upstream, as of some seconds ago."""
         now_s = asyncio.get_running_loop().time()
@@ -213,30 +184,3 @@
             self._last_rank = rank_of(str(engine), self._places_s)
             self._ranked_s = now_s
         return self._last_rank
-
-    async def _state(self) -> EngineState | Refusal:
-        answer = await self._call("GET", names.ENGINE_STATE_PATH, b"")
-        return answer if isinstance(answer, Refusal) else decode_engine_state(answer)
-
-    async def _call(self, method: str, target: str, body: bytes) -> Response | Refusal:
-        try:
-            return await self._engine.request(
-                method, target, self._host, body, _CALL_TIMEOUT_S
-            )
-        except TimeoutError:
-            reason = f"engine gave no answer in {_CALL_TIMEOUT_S} s"
-            return refuse(ErrorKind.UPSTREAM_LOST, reason)
-
-    async def _order(self, state: EngineState, model: str, version: int) -> None:
-        order = encode_weight_order(
-            model, version, False, self._settings.node, _FENCE, state.orders
-        )
-        answer = await self._call("POST", names.ENGINE_ORDER_PATH, order)
-        self._log.info(
-            "weights-ordered",
-            model=model,
-            version=version,
-            had=state.versions.get(model),
-            orders_seen=state.orders,
-            outcome=answer.reason if isinstance(answer, Refusal) else answer.status,
-        )
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -27,6 +27,7 @@
 from ..platform import ProcessSettings, names
 from ..store import Mirror, StoreClient
 from ..tasks import Supervisor
+from ..weights import UnattendedEngines
 from ._ingress import Ingress
 from ._job_calls import JobCalls
 from ._members import ENTRY_KIND, Members
@@ -34,7 +35,7 @@
 from ._secret import SHARED_SECRET
 from ._settings_watch import SettingsWatch
 from ._store_ways import StoreWays
-from ._versions import VersionHerald
+from ._version_announcer import VersionAnnouncer, is_attended, tell_attendant
 
 #: Time in which changes of the configuration are gathered; they have 2 s and more to
 #: come into force.
@@ -81,6 +82,9 @@
             settings.max_object_bytes,
             policy,
         )
+        self._is_leaving = asyncio.Event()
+        # Work that is given up ends the process in order: the platform starts it anew.
+        self._supervisor = Supervisor(metrics, self._is_leaving.set)
         self._view = FleetView(lambda: self._store.outage_age_s, policy)
         is_bounded = policy.uses(Mechanism.RETRY_BUDGET)
         budget = RetryBudget(RETRY_PERCENT if is_bounded else _UNBOUNDED_PERCENT)
@@ -121,6 +125,19 @@
         )
         self._ways = StoreWays(self._members, self._store, links, policy)
         self._store.relays = self._ways.relays
+        self._unattended = UnattendedEngines(
+            settings.node,
+            boot,
+            self._store,
+            self._view,
+            partial(is_attended, links, settings.internal_port),
+            partial(tell_attendant, self._members, links),
+            self._members.attendant_of,
+            partial(self._supervisor.start, may_end=True),
+            settings.lease_s,
+            settings.checks_fences,
+            policy,
+        )
         self._peers = Peers(
             self._members,
             boot,
@@ -129,6 +146,7 @@
             self._ledger,
             self._owner,
             self._ways,
+            self._unattended.take,
             policy,
         )
         self._cleaner = JobCleaner(
@@ -137,13 +155,14 @@
             settings.result_retention_s,
             self._peers.answers_for,
         )
-        self._versions = VersionHerald(
+        self._versions = VersionAnnouncer(
             self._store,
             self._view,
             self._members,
             links,
             settings.internal_port,
             self._owner.models,
+            self._unattended,
             policy,
         )
         self._owner.on_begin.append(self._versions.note_job)
@@ -200,9 +219,6 @@
             "Time since the store last told of the list of instances.",
             lambda: self._instances.age_s,
         )
-        self._is_leaving = asyncio.Event()
-        # Work that is given up ends the process in order: the platform starts it anew.
-        self._supervisor = Supervisor(metrics, self._is_leaving.set)
 
     @property
     def is_ready(self) -> bool:
@@ -240,6 +256,7 @@
         start("jobs", self._jobs.run)
         start("entries", self._members.mirror.run)
         start("versions", self._versions.mirror.run)
+        start("announcements", self._versions.run)
         start("store-beat", beat)
         start("enabling-jobs", self._enable_jobs, may_end=True)
         start("enrolment", self._members.enrol, may_end=True)
@@ -313,7 +330,9 @@
         self._log.info("stopping", program="entry", busy=self._callers.busy_count)
         self._callers.is_leaving = True
         limit_s = begun_s + self._settings.grace_s * _GRACE_PART
-        await self._hand_over(begun_s + _ROTATION_S)
+        await asyncio.gather(
+            self._hand_over(begun_s + _ROTATION_S), self._unattended.leave()
+        )
         await self._members.strike_off(self._settings.node)
         await asyncio.sleep(max(0.0, begun_s + _ROTATION_S - loop.time()))
         self._callers.stop_listening()
--- a/pistachioglade/serving/_members.py
+++ b/pistachioglade/serving/_members.py
@@ -8,8 +8,16 @@
 
 import attrs
 
-from ..decisions import FULL_POLICY, Mechanism, Policy, home_key, home_of
+from ..decisions import (
+    FULL_POLICY,
+    Mechanism,
+    Policy,
+    attendant_of,
+    home_key,
+    home_of,
+)
 from ..errors import ErrorKind, Refusal, refuse
+from ..fleet import Instance
 from ..forwarding import FleetView
 from ..logs import logger
 from ..platform import Entry
@@ -180,6 +188,16 @@
             return self.own_name
         return f"{home}@{self.address_of_node(home)}"
 
+    def attendant_of(self, instance: Instance) -> str:
+        """Return the entry that orders an engine which no process beside it orders."""
+        reached = (
+            name
+            for name in self._listings
+            if self._is_reached(name) and not (self.is_leaving and name == self.node)
+        )
+        address = f"{instance.host}:{instance.port}"
+        return attendant_of(address, reached) or self.node
+
     def is_home(self, upstream: str, model: str) -> bool:
         """Whether this entry runs new jobs of a model."""
         return self.home_for(upstream, model) == self.own_name
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any, Final
 
@@ -40,6 +41,7 @@
 from ..messages import (
     Acknowledged,
     AskHome,
+    EngineUnattended,
     FetchResults,
     FetchSent,
     FetchTexts,
@@ -87,10 +89,13 @@
         ledger: JobLedger,
         owner: JobOwner,
         ways: StoreWays,
+        attend: Callable[[EngineUnattended], Acknowledged | Refusal],
         policy: Policy = FULL_POLICY,
     ) -> None:
         self._policy = policy
         self._ways = ways
+        # Takes on an engine that no process beside it orders.
+        self._attend = attend
         self._members = members
         self._boot = boot
         self._store = store
@@ -175,6 +180,10 @@
     async def _texts(self, message: FetchTexts) -> SampleTexts:
         return self._owner.texts(message.job_id)
 
+    @_dispatch.register
+    async def _engine(self, message: EngineUnattended) -> Acknowledged | Refusal:
+        return self._attend(message)
+
     @_dispatch.register
     async def _relay(self, message: RelayCall) -> RelayAnswer | Refusal:
         return await self._ways.answer(message)
--- a/pistachioglade/serving/tests/test_failing_work.py
+++ b/pistachioglade/serving/tests/test_failing_work.py
@@ -30,6 +30,7 @@
     "jobs",
     "entries",
     "versions",
+    "announcements",
     "store-beat",
     "enabling-jobs",
     "enrolment",
--- a/pistachioglade/serving/tests/test_peers.py
+++ b/pistachioglade/serving/tests/test_peers.py
@@ -13,7 +13,14 @@
 from ...forwarding import FleetView, Forwarder
 from ...jobs import JobLedger, JobOwner, JobReader, Submission, encode_submission
 from ...links import Identity, LinkPool, Peer
-from ...messages import Acknowledged, AskHome, HomeAnswer, ProbeAnswer, StoredRecord
+from ...messages import (
+    Acknowledged,
+    AskHome,
+    EngineUnattended,
+    HomeAnswer,
+    ProbeAnswer,
+    StoredRecord,
+)
 from ...metrics import Metrics
 from ...platform import Entry, names
 from ...store import StoreClient
@@ -33,6 +40,10 @@
     peers: Peers
 
 
+def _attend(message: EngineUnattended) -> Acknowledged | Refusal:
+    return refuse(ErrorKind.NOT_FOUND, "not played")
+
+
 def _scene(client: StoreClient, links: LinkPool) -> _Scene:
     view = FleetView(lambda: None)
     ledger = JobLedger()
@@ -45,7 +56,7 @@
     submission = Submission("other@h:2", "b", "h", "/", 0.0, fields)
     ledger.take(Entry("job", 1, encode_submission(submission), None), False)
     ways = StoreWays(members, client, links)
-    peers = Peers(members, "b", client, links, ledger, owner, ways)
+    peers = Peers(members, "b", client, links, ledger, owner, ways, _attend)
     return _Scene(view, ledger, members, peers)
 
 
--- /dev/null
+++ b/pistachioglade/weights/__init__.py
@@ -0,0 +1,14 @@
+"""Orders that bring model engines to the weight versions that trainers name."""
+
+from ._engine_orders import EngineOrders, OrderStep, Progress
+from ._order_lease import LEASE_KIND, OrderLease
+from ._unattended import UnattendedEngines
+
+__all__ = [
+    "LEASE_KIND",
+    "EngineOrders",
+    "OrderLease",
+    "OrderStep",
+    "Progress",
+    "UnattendedEngines",
+]
--- /dev/null
+++ b/pistachioglade/weights/tests/test_turns.py
@@ -0,0 +1,370 @@
+"""Orders of several holders to one engine, played in virtual time.
+
+Engines without a process of ours beside them got no weights: from the third version on
+no step could run there ("0 orders, 0 loads" on a fleet of entries and disks only).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from itertools import count, pairwise, product
+from typing import Any
+
+import attrs
+import pytest
+
+from ...errors import ErrorKind, Refusal, refuse
+from ...http1 import Response
+from ...platform import Entry, names
+from ...store.tests.scripted import now_s, run_virtual, until
+from .. import EngineOrders, OrderLease, OrderStep, Progress
+
+LEASE_S = 3.0
+#: Time between two named versions.
+NAMED_EACH_S = 2.0
+#: Length of a play.
+DAY_S = 40.0
+
+
+class Store:
+    """Objects in memory with conditional writes, whose answers may be lost."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, Entry] = {}
+        self._revisions = count(1)
+        self.calls = 0
+        # How many of the next answers are lost behind a write that is made.
+        self.lost_answers = 0
+
+    async def _answer(self, entry: Entry) -> Entry | Refusal:
+        await asyncio.sleep(0.004)
+        if self.lost_answers > 0:
+            self.lost_answers -= 1
+            await asyncio.sleep(1.0)
+            return refuse(ErrorKind.PLATFORM_UNCERTAIN, "lost")
+        return entry
+
+    async def create(
+        self, kind: str, name: str, value: Any, within_s: float
+    ) -> Entry | Refusal:
+        self.calls += 1
+        made = Entry(name, next(self._revisions), value, None)
+        return await self._answer(self._entries.setdefault(name, made))
+
+    async def replace(
+        self, kind: str, name: str, value: Any, revision: int | None
+    ) -> Entry | Refusal:
+        self.calls += 1
+        if self._entries[name].revision != revision:
+            return refuse(ErrorKind.CONFLICT, "another revision")
+        self._entries[name] = Entry(name, next(self._revisions), value, None)
+        return await self._answer(self._entries[name])
+
+
+@attrs.frozen
+class Order:
+    """An order that an engine has taken."""
+
+    # When it came.
+    at_s: float
+    # Who sent it.
+    holder: str
+    # Its fencing token.
+    fence: int
+    # The version.
+    version: int
+
+
+class Engine:
+    """Stands in for the connections to one engine."""
+
+    host = "10.0.0.9"
+    port = 80
+
+    def __init__(self, checks_fences: bool) -> None:
+        self._checks_fences = checks_fences
+        self._fence = 0
+        self._busy_until_s = 0.0
+        self.version = 1
+        self.orders: list[Order] = []
+
+    async def request(
+        self, method: str, path: str, fields: Any, body: bytes, timeout_s: float
+    ) -> Response:
+        await asyncio.sleep(0.003)
+        if path == names.ENGINE_STATE_PATH:
+            return Response(200, (), json.dumps(self._report()).encode())
+        return Response(self._take(json.loads(body)))
+
+    def _report(self) -> dict[str, Any]:
+        return {
+            "models": [{"name": "m", "version": self.version}],
+            "busy": now_s() < self._busy_until_s,
+            "sequence": len(self.orders),
+        }
+
+    def _take(self, order: dict[str, Any]) -> int:
+        if self._checks_fences and order["fencing-token"] < self._fence:
+            return 412
+        if now_s() < self._busy_until_s or order["expect"] != len(self.orders):
+            return 409
+        self._fence = order["fencing-token"]
+        self._busy_until_s = now_s() + 0.9
+        self.version = order["version"]
+        taken = Order(now_s(), order["holder"], self._fence, self.version)
+        self.orders.append(taken)
+        return 202
+
+
+class Holder:
+    """A process that orders the engine whenever it runs."""
+
+    def __init__(
+        self,
+        node: str,
+        engine: Engine,
+        store: Store,
+        is_beside: bool,
+        checks: bool,
+        is_held: Callable[[str], Awaitable[bool]] | None = None,
+    ) -> None:
+        self._is_held = is_held
+        self._node = node
+        self._engine = engine
+        self._store = store
+        self._is_beside = is_beside
+        self._checks = checks
+        self._boots = count()
+        self.is_running = True
+        self.start()
+
+    def start(self) -> None:
+        """Begin anew, as a process that starts again."""
+        self._lease = OrderLease(
+            self._store,  # type: ignore[arg-type]
+            "10.0.0.9:80",
+            self._node,
+            f"boot-{next(self._boots)}",
+            self._is_beside,
+            LEASE_S,
+            self._checks,
+            self._is_held,
+        )
+        self._orders = EngineOrders(
+            self._engine,  # type: ignore[arg-type]
+            self._node,
+            self._lease,
+            self._rank,
+            skips=False,
+        )
+
+    async def release(self) -> None:
+        await self._lease.release()
+
+    async def _rank(self) -> int:
+        return 0
+
+    async def run(self) -> None:
+        while True:
+            if self.is_running:
+                self._orders.want("m", 1 + int(now_s() / NAMED_EACH_S))
+                step = await self._orders.step()
+            else:
+                step = OrderStep(Progress.CURRENT)
+            await asyncio.sleep(max(0.2, min(1.0, step.wait_s)))
+
+
+def assert_turns(orders: list[Order]) -> None:
+    """Check what is promised of the orders that an engine has taken."""
+    for earlier, later in pairwise(orders):
+        assert later.fence >= earlier.fence, (earlier, later)
+        if later.holder != earlier.holder:
+            assert later.fence > earlier.fence, (earlier, later)
+            assert later.at_s - earlier.at_s >= LEASE_S, (earlier, later)
+
+
+async def _rest(tasks: list[asyncio.Task[None]]) -> None:
+    await until(DAY_S)
+    for task in tasks:
+        assert not task.done()
+        task.cancel()
+
+
+def test_an_engine_without_a_process_beside_it_gets_its_weights() -> None:
+    async def work() -> None:
+        engine, store = Engine(True), Store()
+        entry = Holder("entry", engine, store, is_beside=False, checks=True)
+        await _rest([asyncio.create_task(entry.run())])
+        assert engine.version >= DAY_S / NAMED_EACH_S
+        assert_turns(engine.orders)
+
+    run_virtual(work)
+
+
+def test_the_process_beside_an_engine_calls_the_store_once() -> None:
+    async def work() -> None:
+        engine, store = Engine(True), Store()
+        beside = Holder("beside", engine, store, is_beside=True, checks=True)
+        await _rest([asyncio.create_task(beside.run())])
+        assert engine.version >= DAY_S / NAMED_EACH_S
+        assert store.calls == 1
+
+    run_virtual(work)
+
+
+#: Moments at which the process beside the engine is lost and comes back: each tenth of
+#: the time between two versions, and times behind it before, within and past a lease.
+_MOMENTS = [
+    (10.0 + tenth / 10 * NAMED_EACH_S, 10.0 + tenth / 10 * NAMED_EACH_S + away_s)
+    for tenth, away_s in product(range(10), (0.3, 1.0, 3.0, 5.2, 7.0, 12.0))
+]
+
+
+@pytest.mark.parametrize("is_killed", [True, False])
+@pytest.mark.parametrize("checks", [True, False])
+def test_holders_of_one_engine_take_turns(checks: bool, is_killed: bool) -> None:
+    """The process beside is lost, killed or frozen, and returns at every moment."""
+
+    async def play(lost_s: float, back_s: float) -> None:
+        engine, store = Engine(checks), Store()
+        beside = Holder("beside", engine, store, is_beside=True, checks=checks)
+        entry = Holder("entry", engine, store, is_beside=False, checks=checks)
+        entry.is_running = False
+        tasks = [asyncio.create_task(item.run()) for item in (beside, entry)]
+        await until(lost_s)
+        beside.is_running = False
+        # As the announcer and its probe find out.
+        await asyncio.sleep(0.5)
+        entry.is_running = True
+        await until(max(back_s, now_s()))
+        if is_killed:
+            beside.start()
+        beside.is_running = True
+        await asyncio.sleep(0.5)
+        entry.is_running = False
+        await _rest(tasks)
+        assert_turns(engine.orders)
+        assert engine.version >= DAY_S / NAMED_EACH_S, (lost_s, back_s)
+
+    for lost_s, back_s in _MOMENTS:
+        run_virtual(lambda lost_s=lost_s, back_s=back_s: play(lost_s, back_s))
+
+
+@pytest.mark.parametrize("lost_answers", [0, 1, 2])
+def test_two_entries_that_both_attend_an_engine(lost_answers: int) -> None:
+    """Entries whose lists differ for a while: the lease decides, at every moment."""
+
+    async def play(begin_s: float, both_s: float) -> None:
+        engine, store = Engine(False), Store()
+        first = Holder("first", engine, store, is_beside=False, checks=False)
+        second = Holder("second", engine, store, is_beside=False, checks=False)
+        second.is_running = False
+        tasks = [asyncio.create_task(item.run()) for item in (first, second)]
+        await until(begin_s)
+        second.is_running = True
+        store.lost_answers = lost_answers
+        await asyncio.sleep(both_s)
+        first.is_running = False
+        await _rest(tasks)
+        assert_turns(engine.orders)
+        assert engine.version >= DAY_S / NAMED_EACH_S, (begin_s, both_s)
+
+    for tenth, both_s in product(range(10), (0.0, 0.7, 4.0)):
+        begin_s = 10.0 + tenth / 10 * NAMED_EACH_S
+        run_virtual(lambda begin_s=begin_s, both_s=both_s: play(begin_s, both_s))
+
+
+def test_an_engine_that_does_not_check_fences_keeps_its_frozen_holder() -> None:
+    """Nothing would stop that holder when it wakes, so nobody takes its lease."""
+
+    async def work() -> None:
+        engine, store = Engine(False), Store()
+        beside = Holder("beside", engine, store, is_beside=True, checks=False)
+        entry = Holder("entry", engine, store, is_beside=False, checks=False)
+        entry.is_running = False
+        tasks = [asyncio.create_task(item.run()) for item in (beside, entry)]
+        await until(10.1)
+        beside.is_running, entry.is_running = False, True
+        await _rest(tasks)
+        assert {order.holder for order in engine.orders} == {"beside"}
+
+    run_virtual(work)
+
+
+@pytest.mark.parametrize("lost_answers", [0, 1])
+def test_a_released_lease_passes_on_within_its_turn(lost_answers: int) -> None:
+    """Entries that stop one after the other: each engine lost 5 s with each of them."""
+
+    async def play(begin_s: float) -> None:
+        engine, store = Engine(False), Store()
+        first = Holder("first", engine, store, is_beside=False, checks=False)
+        second = Holder("second", engine, store, is_beside=False, checks=False)
+        second.is_running = False
+        tasks = [asyncio.create_task(item.run()) for item in (first, second)]
+        await until(begin_s)
+        first.is_running = False
+        # A step that had begun is over by then.
+        await asyncio.sleep(0.2)
+        store.lost_answers = lost_answers
+        await first.release()
+        second.is_running = True
+        await asyncio.sleep(LEASE_S + 2.5)
+        if not lost_answers:
+            assert engine.orders[-1].holder == "second"
+        await _rest(tasks)
+        assert_turns(engine.orders)
+
+    for tenth in range(10):
+        begin_s = 10.0 + tenth / 10 * NAMED_EACH_S
+        run_virtual(lambda begin_s=begin_s: play(begin_s))
+
+
+@pytest.mark.parametrize("is_alive", [True, False])
+def test_an_engine_stays_with_a_holder_that_lives(is_alive: bool) -> None:
+    """Entries whose lists differ took an engine from each other, 5 s a time."""
+
+    async def work() -> None:
+        engine, store = Engine(True), Store()
+        first = Holder("first", engine, store, is_beside=False, checks=True)
+        asked: list[str] = []
+
+        async def is_held(holder: str) -> bool:
+            asked.append(holder)
+            return is_alive
+
+        second = Holder("second", engine, store, False, True, is_held)
+        second.is_running = False
+        tasks = [asyncio.create_task(item.run()) for item in (first, second)]
+        await until(10.0)
+        second.is_running = True
+        first.is_running = is_alive
+        await _rest(tasks)
+        assert set(asked) == {"first"}
+        assert engine.orders[-1].holder == ("first" if is_alive else "second")
+        assert_turns(engine.orders)
+
+    run_virtual(work)
+
+
+def test_a_holder_that_starts_again_orders_at_once() -> None:
+    """All processes lose their power: engines waited 5 s more for their weights."""
+
+    async def work() -> None:
+        engine, store = Engine(True), Store()
+        first = Holder("first", engine, store, is_beside=False, checks=True)
+        second = Holder("second", engine, store, is_beside=False, checks=True)
+        second.is_running = False
+        tasks = [asyncio.create_task(item.run()) for item in (first, second)]
+        await until(5.0)
+        first.is_running, second.is_running = False, True
+        await until(20.5)
+        second.start()
+        before = len(engine.orders)
+        await asyncio.sleep(2.5)
+        assert len(engine.orders) > before
+        await _rest(tasks)
+        assert_turns(engine.orders)
+
+    run_virtual(work)
