What an instance refuses for decides what follows, and a handle outlives the list

Cause: an answer by another instance (421), a refusal by one that loads weights and one by a full instance all counted as "full", with a pause of 0.06 to 0.25 s. Behind a loss of all power the entry that ran the jobs tried 21 engines that were gone 844 times. A sample whose instance left the list between its placing and its task ended with a KeyError.

Change: decisions/_instance_refusals.py names four reasons with four consequences, the same for samples, lookups, reward calls and orders. An absent instance isn't used until a newer entry names it, it answers itself, or 6 s are over; three absent ones within a second have the list read at once, once a second at most. A load rests the instance for that model only, and one sample at a time asks whether it is over. An instance that hasn't answered since it was listed gets one sample. Requests hold an InstanceHandle (instance, record, connections) instead of looking ids up behind an await; a sample whose instance isn't listed any more waits again.

Two tests placed samples on instances that had never answered; they answer first now, and check the same (test_scheduler.py, test_passing_on.py).

Ruled out: reading the list again at each 421 (new instances aren't on it for 1 to 2 s).

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -34,6 +34,12 @@
     should_move,
     usual_pace_s,
 )
+from ._instance_refusals import (
+    ABSENT_S,
+    InstanceRefusal,
+    kind_of_refusal,
+    should_read_list,
+)
 from ._instance_runs import InstanceRun, run_of
 from ._job_home import capacity_of, home_key, home_of
 from ._job_retention import may_forget
@@ -85,6 +91,7 @@
 from ._weight_turns import MAX_LAG, rank_of, remembered_places, should_load
 
 __all__ = [
+    "ABSENT_S",
     "BUCKET_COUNT",
     "FULL_POLICY",
     "LEAST_SAVED_EVENTS",
@@ -107,6 +114,7 @@
     "FinishedStep",
     "GroupHomes",
     "InstanceRecord",
+    "InstanceRefusal",
     "InstanceRun",
     "KeyGate",
     "LeaseObserver",
@@ -146,6 +154,7 @@
     "is_slow",
     "is_store_fresh",
     "is_storeless",
+    "kind_of_refusal",
     "may_forget",
     "may_have_lapsed",
     "may_repeat",
@@ -166,6 +175,7 @@
     "save_interval_s",
     "should_load",
     "should_move",
+    "should_read_list",
     "should_save",
     "should_strike_off",
     "slow_agents",
--- a/pistachioglade/decisions/_instance_choice.py
+++ b/pistachioglade/decisions/_instance_choice.py
@@ -13,6 +13,8 @@
 
 import attrs
 
+from ._instance_refusals import InstanceRefusal
+
 #: Time for which an instance's word on its load is believed: about the work of two
 #: lookups, or a tenth of a sample.
 _LOAD_WORD_S: Final = 0.3
@@ -55,6 +57,11 @@
 _PACE_WORD_S: Final = 6.0
 
 
+def _refusal_pause_s(earlier: int) -> float:
+    """Return the pause behind a refusal that so many others went before."""
+    return float(min(_LONGEST_PAUSE_S, _FIRST_PAUSE_S * 2.0**earlier))
+
+
 @attrs.define
 class InstanceRecord:
     """What this node knows of one instance's load and conduct."""
@@ -81,8 +88,14 @@
     paced_s: float = float("-inf")
     # Weight version that it was last seen with, by model.
     versions: dict[str, int] = attrs.field(factory=dict)
+    # Until when it is taken to load a model's weights, by model.
+    loads_until_s: dict[str, float] = attrs.field(factory=dict)
+    # Refusals of a model since its last good answer, by model.
+    load_refusals: dict[str, int] = attrs.field(factory=dict)
     # Whether it is left alone for a moment after a failure.
     may_rest: bool = True
+    # Whether it has answered since it was listed, so that it is where the list says.
+    has_answered: bool = True
 
     def load(self, now_s: float) -> int:
         """Return the requests that are there as far as this node can tell."""
@@ -93,6 +106,15 @@
         """Return the slots that are free as far as this node can tell."""
         return self.slots - self.load(now_s)
 
+    def room(self, now_s: float) -> int:
+        """Return the samples that it may be sent now.
+
+        One that hasn't answered yet gets a single sample: a list may be of a time
+        before all its instances were replaced.
+        """
+        free = self.free_slots(now_s)
+        return free if self.has_answered else min(free, 1 - self.outstanding)
+
     def is_resting(self, now_s: float) -> bool:
         """Whether it failed a moment ago."""
         return self.may_rest and now_s < self.rests_until_s
@@ -102,17 +124,44 @@
         self.others = max(0, running + waiting - self.outstanding)
         self.others_s = now_s
 
-    def refused(self, now_s: float) -> None:
-        """Count a refusal: the instance is full, or loads weights."""
-        pause_s = min(_LONGEST_PAUSE_S, _FIRST_PAUSE_S * 2.0**self.refusals)
+    def refused(
+        self, kind: InstanceRefusal, now_s: float, model: str | None = None
+    ) -> None:
+        """Count a refusal, of a model's requests where it loads weights."""
+        if kind is InstanceRefusal.LOADING and model is not None:
+            earlier = self.load_refusals.get(model, 0)
+            self.load_refusals[model] = earlier + 1
+            self.loads_until_s[model] = now_s + _refusal_pause_s(earlier)
+            return
+        pause_s = _refusal_pause_s(self.refusals)
         self.refusals += 1
         self.rests_until_s = max(self.rests_until_s, now_s + pause_s)
 
-    def answered(self) -> None:
-        """Count a good answer."""
+    def sent(self, model: str, now_s: float) -> None:
+        """Take that a request of a model goes there.
+
+        Where the last one was refused for a load, others wait for this one's answer.
+        """
+        if self.load_refusals.get(model):
+            self.loads_until_s[model] = now_s + _LONGEST_PAUSE_S
+
+    def is_loading(self, model: str, now_s: float) -> bool:
+        """Whether it refused this model's requests a moment ago."""
+        return now_s < self.loads_until_s.get(model, now_s)
+
+    def answered(self, model: str | None = None) -> None:
+        """Count a good answer, to a request of a model where it has one."""
+        self.has_answered = True
         self.failures = 0
         self.refusals = 0
         self.rests_until_s = float("-inf")
+        if model is not None:
+            self.loaded(model)
+
+    def loaded(self, model: str) -> None:
+        """Take that it runs a request of a model."""
+        self.load_refusals.pop(model, None)
+        self.loads_until_s.pop(model, None)
 
     def failed(self, now_s: float) -> None:
         """Count a failure; each that follows doubles the rest."""
@@ -205,7 +254,7 @@
     able = [
         item
         for item in records
-        if item[1].free_slots(now_s) > 0
+        if item[1].room(now_s) > 0
         and not item[1].is_resting(now_s)
         and item[0] != avoid
     ]
@@ -231,7 +280,7 @@
     if remaining_events is not None and remaining_events < _LEAST_MOVED_EVENTS:
         return False
     return any(
-        peer.free_slots(now_s) > 0
+        peer.room(now_s) > 0
         and not peer.is_resting(now_s)
         and not is_slow(peer, usual_s, now_s)
         for peer in peers
--- a/pistachioglade/decisions/tests/test_instance_choice.py
+++ b/pistachioglade/decisions/tests/test_instance_choice.py
@@ -9,6 +9,7 @@
 
 from .. import (
     InstanceRecord,
+    InstanceRefusal,
     choose_for_call,
     choose_for_sample,
     is_slow,
@@ -62,7 +63,7 @@
 
 def test_a_refusal_pauses_for_less_than_a_failure() -> None:
     refused, failed = _record(), _record()
-    refused.refused(0.0)
+    refused.refused(InstanceRefusal.FULL, 0.0)
     failed.failed(0.0)
     assert 0.0 < refused.rests_until_s < failed.rests_until_s
 
--- a/pistachioglade/forwarding/__init__.py
+++ b/pistachioglade/forwarding/__init__.py
@@ -1,10 +1,10 @@
 """Forwarding of requests to instances, and what is known of these."""
 
 from ._events import EventDecoder, StreamEvent
-from ._fleet_view import FleetView
+from ._fleet_view import FleetView, InstanceHandle
 from ._forward import ForwardedAnswer, ForwardedCall, Forwarder
 from ._stream import StreamEnd, StreamForwarder, StreamSink
-from ._upstream_call import call_instance
+from ._upstream_call import call_instance, note_refusal
 
 __all__ = [
     "EventDecoder",
@@ -12,9 +12,11 @@
     "ForwardedAnswer",
     "ForwardedCall",
     "Forwarder",
+    "InstanceHandle",
     "StreamEnd",
     "StreamEvent",
     "StreamForwarder",
     "StreamSink",
     "call_instance",
+    "note_refusal",
 ]
--- a/pistachioglade/forwarding/_fleet_view.py
+++ b/pistachioglade/forwarding/_fleet_view.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..decisions import (
+    ABSENT_S,
     FULL_POLICY,
     InstanceRecord,
     InstanceRun,
@@ -15,6 +16,7 @@
     Policy,
     may_have_lapsed,
     run_of,
+    should_read_list,
 )
 from ..errors import ErrorKind, Refusal, refuse
 from ..fleet import Configuration, Instance
@@ -34,6 +36,23 @@
     return None
 
 
+@attrs.frozen
+class InstanceHandle:
+    """An instance for one request, whatever becomes of its place on the list."""
+
+    # The instance as it was listed when it was chosen.
+    instance: Instance
+    # Its conduct.
+    record: InstanceRecord
+    # Connections to it.
+    pool: Pool
+
+    @property
+    def id(self) -> str:
+        """Id of the instance."""
+        return self.instance.id
+
+
 class FleetView:
     """Routes, instances, their connections and their records."""
 
@@ -49,6 +68,11 @@
         # Instances that left the list around an outage, and stay in use for a moment,
         # with when they left it.
         self._lapsed: dict[str, float] = {}
+        # Instances at whose addresses others answer, with when that was seen.
+        self._absent_s: dict[str, float] = {}
+        self._list_read_s = float("-inf")
+        # Called when the list of instances is found to be out of date.
+        self.on_outdated: list[Callable[[], None]] = []
         # Instances whose entries can't be read; they get no new requests.
         self._unreadable: set[str] = set()
         # The configuration in force; None before the first.
@@ -98,6 +122,7 @@
             return
         self._lapsed.pop(read.id, None)
         self._unreadable.discard(read.id)
+        self._absent_s.pop(read.id, None)
         if known is not None and run is InstanceRun.LATER:
             self._end_run(known, read)
             known = None
@@ -108,7 +133,10 @@
         if known is None:
             self._log.info("instance-listed", instance=read.id, upstream=read.upstream)
             self.records[read.id] = InstanceRecord(
-                read.domain, read.slots, may_rest=self._may_rest
+                read.domain,
+                read.slots,
+                may_rest=self._may_rest,
+                has_answered=False,
             )
             self.pools[read.id] = Pool(read.host, read.port)
         elif read.is_leaving and not known.is_leaving:
@@ -157,6 +185,7 @@
     def _forget(self, instance_id: str) -> None:
         now_s = self._now_s()
         self._unreadable.discard(instance_id)
+        self._absent_s.pop(instance_id, None)
         self._log.info(
             "instance-gone",
             instance=instance_id,
@@ -188,6 +217,9 @@
         """
         if instance.is_leaving or instance.id in self._unreadable:
             return False
+        absent_s = self._absent_s.get(instance.id)
+        if absent_s is not None and self._now_s() - absent_s < ABSENT_S:
+            return False
         return instance.id not in self._lapsed or may_have_lapsed(self._outage_age_s())
 
     def open_instances(self, upstream: str) -> Iterator[Instance]:
@@ -198,6 +230,47 @@
             if item.upstream == upstream and self._is_open(item)
         )
 
+    def handle_of(self, instance_id: str) -> InstanceHandle | None:
+        """Return an instance to hold on to; None if it isn't known."""
+        instance = self.instances.get(instance_id)
+        if instance is None:
+            return None
+        return InstanceHandle(
+            instance, self.records[instance_id], self.pools[instance_id]
+        )
+
+    def open_handles(self, upstream: str) -> Iterator[InstanceHandle]:
+        """Return the instances of an upstream that take new requests, to hold."""
+        return (
+            InstanceHandle(item, self.records[item.id], self.pools[item.id])
+            for item in self.open_instances(upstream)
+        )
+
+    def note_absent(self, handle: InstanceHandle) -> None:
+        """Use an instance no more at whose address another one answers.
+
+        It is used again once a newer entry names it, or it answers.
+        """
+        if self.records.get(handle.id) is not handle.record:
+            return
+        now_s = self._now_s()
+        since_s = self._absent_s.get(handle.id, float("-inf"))
+        if now_s - since_s < ABSENT_S:
+            return
+        self._absent_s[handle.id] = now_s
+        handle.record.has_answered = False
+        handle.pool.close_idle()
+        self._log.warning("instance-absent", instance=handle.id)
+        if should_read_list(self._absent_s.values(), self._list_read_s, now_s):
+            self._list_read_s = now_s
+            for callback in self.on_outdated:
+                callback()
+
+    def note_present(self, handle: InstanceHandle) -> None:
+        """Take that an instance has answered itself."""
+        handle.record.has_answered = True
+        self._absent_s.pop(handle.id, None)
+
     def may_send_to(self, instance_id: str) -> bool:
         """Whether an instance still takes new requests."""
         found = self.instances.get(instance_id)
--- a/pistachioglade/forwarding/_forward.py
+++ b/pistachioglade/forwarding/_forward.py
@@ -16,12 +16,12 @@
     try_time_s,
 )
 from ..errors import ErrorKind, Refusal, refuse
-from ..fleet import Instance, Route, RouteKind, choose_upstream
+from ..fleet import Route, RouteKind, choose_upstream
 from ..http1 import Request, Response, end_to_end
 from ..logs import logger
 from ..metrics import Metrics
 from ..platform import caller_deadline_s
-from ._fleet_view import FleetView
+from ._fleet_view import FleetView, InstanceHandle
 from ._upstream_call import call_instance
 
 
@@ -96,13 +96,13 @@
         while True:
             now_s = loop.time()
             remaining_s = call.deadline_s - now_s
-            instance = choose_instance(self._view, upstream, tried, self._domain)
-            if instance is None or remaining_s <= 0.0:
+            handle = choose_instance(self._view, upstream, tried, self._domain)
+            if handle is None or remaining_s <= 0.0:
                 break
-            tried.append(instance.id)
+            tried.append(handle.id)
             time_s = try_time_s(policy, len(tried), remaining_s)
             last = await call_instance(
-                self._view, instance, kept, call.request_id, time_s
+                self._view, handle, kept, call.request_id, time_s
             )
             self._metrics.tried(
                 last.kind.value if isinstance(last, Refusal) else str(last.status)
@@ -111,7 +111,7 @@
                 "call-tried",
                 request=call.request_id,
                 route=route.name,
-                instance=instance.id,
+                instance=handle.id,
                 attempt=len(tried),
                 outcome=last.kind.value if isinstance(last, Refusal) else last.status,
                 reason=last.reason if isinstance(last, Refusal) else "",
@@ -137,15 +137,14 @@
 
 def choose_instance(
     view: FleetView, upstream: str, tried: list[str], domain: str
-) -> Instance | None:
+) -> InstanceHandle | None:
     """Return the instance for the next try of a request; None if there is none."""
-    records = [
-        (item.id, view.records[item.id])
-        for item in view.open_instances(upstream)
-        if item.id not in tried
-    ]
+    handles = {
+        item.id: item for item in view.open_handles(upstream) if item.id not in tried
+    }
+    records = [(name, item.record) for name, item in handles.items()]
     chosen = choose_for_call(records, domain, asyncio.get_running_loop().time())
-    return None if chosen is None else view.instances[chosen]
+    return None if chosen is None else handles[chosen]
 
 
 def final_answer(
--- a/pistachioglade/forwarding/_stream.py
+++ b/pistachioglade/forwarding/_stream.py
@@ -21,7 +21,7 @@
     stream_silence_s,
 )
 from ..errors import ErrorKind, Refusal, refuse
-from ..fleet import Instance, choose_upstream
+from ..fleet import choose_upstream
 from ..http1 import (
     CONNECT_TIMEOUT_S,
     ClientConnection,
@@ -35,7 +35,7 @@
 from ..metrics import Metrics
 from ..platform import last_event_of, request_fields, resume_fields
 from ._events import EventDecoder, StreamEvent
-from ._fleet_view import FleetView
+from ._fleet_view import FleetView, InstanceHandle
 from ._forward import ForwardedCall, choose_instance, final_answer
 from ._upstream_call import judge_head, note_conduct
 
@@ -104,11 +104,11 @@
         last: Response | Refusal = refuse(ErrorKind.NO_UPSTREAM, "no instance")
         self._budget.first_try()
         while True:
-            instance = choose_instance(self._view, upstream, tried, self._domain)
-            if instance is None or call.deadline_s <= loop.time():
+            handle = choose_instance(self._view, upstream, tried, self._domain)
+            if handle is None or call.deadline_s <= loop.time():
                 break
-            tried.append(instance.id)
-            answer = await self._try(call, policy, instance, progress, len(tried))
+            tried.append(handle.id)
+            answer = await self._try(call, policy, handle, progress, len(tried))
             if answer is None:
                 sink.finish()
                 return StreamEnd.WHOLE
@@ -132,7 +132,7 @@
         self,
         call: ForwardedCall,
         policy: CallPolicy,
-        instance: Instance,
+        handle: InstanceHandle,
         progress: _Progress,
         attempt: int,
     ) -> Response | Refusal | None:
@@ -140,10 +140,10 @@
         loop = asyncio.get_running_loop()
         begun_s = loop.time()
         resumed_after = progress.last_event
-        record = self._view.records[instance.id]
+        record = handle.record
         record.outstanding += 1
         try:
-            answer = await self._exchange(call, policy, instance, progress)
+            answer = await self._exchange(call, policy, handle, progress)
         finally:
             record.outstanding -= 1
         outcome = "whole" if answer is None else _outcome(answer)
@@ -152,7 +152,7 @@
             "stream-tried",
             request=call.request_id,
             route=call.route.name,
-            instance=instance.id,
+            instance=handle.id,
             attempt=attempt,
             outcome=outcome,
             reason=answer.reason if isinstance(answer, Refusal) else "",
@@ -166,20 +166,19 @@
         self,
         call: ForwardedCall,
         policy: CallPolicy,
-        instance: Instance,
+        handle: InstanceHandle,
         progress: _Progress,
     ) -> Response | Refusal | None:
-        record = self._view.records[instance.id]
-        pool = self._view.pools[instance.id]
+        pool = handle.pool
         loop = asyncio.get_running_loop()
         connection = await pool.acquire(CONNECT_TIMEOUT_S)
         if isinstance(connection, Refusal):
-            record.failed(loop.time())
+            handle.record.failed(loop.time())
             return connection
         head: ResponseHead | None = None
         answer: Response | Refusal | None = None
         try:
-            exchange = _send(connection, call, instance, progress)
+            exchange = _send(connection, call, handle.id, progress)
             reader = _StreamReader(call, policy, exchange, progress)
             answer = await reader.run()
             head = exchange.response
@@ -191,7 +190,7 @@
         finally:
             pool.release(connection)
         fault = answer if isinstance(answer, Refusal) else None
-        note_conduct(record, head, fault, loop.time())
+        note_conduct(self._view, handle, head, fault, loop.time())
         return answer
 
 
@@ -202,7 +201,7 @@
 def _send(
     connection: ClientConnection,
     call: ForwardedCall,
-    instance: Instance,
+    instance_id: str,
     progress: _Progress,
 ) -> Exchange:
     request = call.request
@@ -212,7 +211,7 @@
         resumed = resume_fields(progress.last_event)
         replaced = {name.lower() for name, _ in resumed}
         kept = (*(item for item in kept if item[0].lower() not in replaced), *resumed)
-    fields = request_fields(kept, instance.id, remaining_s, call.request_id)
+    fields = request_fields(kept, instance_id, remaining_s, call.request_id)
     return connection.start(request.method, request.target, fields, request.body)
 
 
--- a/pistachioglade/forwarding/_upstream_call.py
+++ b/pistachioglade/forwarding/_upstream_call.py
@@ -4,18 +4,18 @@
 
 import asyncio
 
-from ..decisions import InstanceRecord
+from ..decisions import InstanceRefusal, kind_of_refusal
 from ..errors import ErrorKind, Refusal, refuse
-from ..fleet import Instance
-from ..http1 import CONNECT_TIMEOUT_S, Pool, Request, Response, ResponseHead
+from ..http1 import CONNECT_TIMEOUT_S, Request, Response, ResponseHead
 from ..platform import (
     belongs_to,
     did_not_run,
     instance_load,
+    is_misdirected,
     is_signed,
     request_fields,
 )
-from ._fleet_view import FleetView
+from ._fleet_view import FleetView, InstanceHandle
 
 #: Statuses that promise that a request did not run; an engine's own answer with one
 #: of these but without its mark may have run.
@@ -24,7 +24,7 @@
 
 async def call_instance(
     view: FleetView,
-    instance: Instance,
+    handle: InstanceHandle,
     request: Request,
     request_id: str,
     remaining_s: float,
@@ -33,19 +33,19 @@
 
     A refusal says NOT_RUN only if nothing was sent or the instance said so.
     """
-    record = view.records[instance.id]
-    pool = view.pools[instance.id]
+    record = handle.record
     loop = asyncio.get_running_loop()
     record.outstanding += 1
     try:
-        answer = await _exchange(pool, instance, request, request_id, remaining_s)
+        answer = await _exchange(handle, request, request_id, remaining_s)
     except TimeoutError:
         answer = refuse(ErrorKind.UPSTREAM_LOST, f"no answer in {remaining_s:.3f} s")
     finally:
         record.outstanding -= 1
     judged = _judge(answer, request_id)
     note_conduct(
-        record,
+        view,
+        handle,
         answer if isinstance(answer, Response) else None,
         judged if isinstance(judged, Refusal) else None,
         loop.time(),
@@ -54,17 +54,16 @@
 
 
 async def _exchange(
-    pool: Pool,
-    instance: Instance,
+    handle: InstanceHandle,
     request: Request,
     request_id: str,
     remaining_s: float,
 ) -> Response | Refusal:
     async with asyncio.timeout(remaining_s):
-        connection = await pool.acquire(min(CONNECT_TIMEOUT_S, remaining_s))
+        connection = await handle.pool.acquire(min(CONNECT_TIMEOUT_S, remaining_s))
         if isinstance(connection, Refusal):
             return connection
-        fields = request_fields(request.fields, instance.id, remaining_s, request_id)
+        fields = request_fields(request.fields, handle.id, remaining_s, request_id)
         try:
             exchange = connection.start(
                 request.method, request.target, fields, request.body
@@ -74,7 +73,7 @@
             connection.close()
             raise
         finally:
-            pool.release(connection)
+            handle.pool.release(connection)
         if isinstance(answer, Response) and not belongs_to(answer, request_id):
             connection.close()
         return answer
@@ -100,18 +99,42 @@
 
 
 def note_conduct(
-    record: InstanceRecord,
+    view: FleetView,
+    handle: InstanceHandle,
     head: Response | ResponseHead | None,
     fault: Refusal | None,
     now_s: float,
 ) -> None:
     """Enter in an instance's record how it has answered."""
+    record = handle.record
     load = None if head is None else instance_load(head)
     if load is not None:
         record.told_load(load.running, load.waiting, now_s)
     if fault is None:
         record.answered()
-    elif fault.kind is ErrorKind.OVERLOADED:
-        record.refused(now_s)
+        view.note_present(handle)
+    elif fault.kind is ErrorKind.OVERLOADED and head is not None:
+        note_refusal(view, handle, head, now_s)
     else:
         record.failed(now_s)
+
+
+def note_refusal(
+    view: FleetView,
+    handle: InstanceHandle,
+    head: Response | ResponseHead,
+    now_s: float,
+    model: str | None = None,
+) -> InstanceRefusal:
+    """Enter in an instance's record why it did not run a request; return the reason.
+
+    No request here is tied to a weight version.
+    """
+    load = instance_load(head)
+    free_slots = None if load is None else load.slots - load.running - load.waiting
+    kind = kind_of_refusal(is_misdirected(head), False, free_slots)
+    if kind is InstanceRefusal.ABSENT:
+        view.note_absent(handle)
+    else:
+        handle.record.refused(kind, now_s, model)
+    return kind
--- a/pistachioglade/jobs/_sample_scheduler.py
+++ b/pistachioglade/jobs/_sample_scheduler.py
@@ -17,8 +17,8 @@
     start_order,
 )
 from ..errors import ErrorKind, refuse
-from ..fleet import Instance, RewardCall, choose_upstream, find_route
-from ..forwarding import FleetView, ForwardedAnswer, Forwarder
+from ..fleet import RewardCall, choose_upstream, find_route
+from ..forwarding import FleetView, ForwardedAnswer, Forwarder, InstanceHandle
 from ..http1 import Request, Response
 from ..logs import logger
 from ..metrics import Metrics
@@ -71,7 +71,7 @@
         if not self.is_enabled:
             return
         now_s = asyncio.get_running_loop().time()
-        if not any(item.free_slots(now_s) > 0 for item in self._view.records.values()):
+        if not any(item.room(now_s) > 0 for item in self._view.records.values()):
             return
         only_begun = self._is_catching_up()
         waiting = [
@@ -84,17 +84,18 @@
         for pending in start_order(waiting, by_length):
             run = self._runs[pending.job_id]
             sample = run.samples[pending.item_id]
-            instance = self._place(run, sample)
-            if instance is not None:
-                self._start(run, sample, instance)
+            handle = self._place(run, sample)
+            if handle is not None:
+                self._start(run, sample, handle)
 
-    def _start(self, run: JobRun, sample: Sample, instance: Instance) -> None:
+    def _start(self, run: JobRun, sample: Sample, handle: InstanceHandle) -> None:
         """Start a sample; it counts at its engine before its task has run."""
-        record = self._view.records[instance.id]
+        record = handle.record
         sample.is_waiting = False
-        sample.running_at = instance.id
+        sample.running_at = handle.id
         record.outstanding += 1
-        task = run.spawn(self._run_sample(run, sample, instance))
+        record.sent(run.job.model, asyncio.get_running_loop().time())
+        task = run.spawn(self._run_sample(run, sample, handle))
 
         def ended(task: asyncio.Task[None]) -> None:
             record.outstanding -= 1
@@ -105,20 +106,22 @@
 
         task.add_done_callback(ended)
 
-    def _candidates(self, run: JobRun, sample: Sample) -> list[Instance]:
+    def _candidates(self, run: JobRun, sample: Sample) -> list[InstanceHandle]:
         if not run.is_routed:
             return []
         upstream = choose_upstream(run.route, sample.item.id)
         model, least = run.job.model, run.job.min_version
+        now_s = asyncio.get_running_loop().time()
         return [
             item
-            for item in self._view.open_instances(upstream)
-            if self._view.records[item.id].versions.get(model, least) >= least
+            for item in self._view.open_handles(upstream)
+            if item.record.versions.get(model, least) >= least
+            and not item.record.is_loading(model, now_s)
         ]
 
-    def _place(self, run: JobRun, sample: Sample) -> Instance | None:
-        candidates = self._candidates(run, sample)
-        records = [(item.id, self._view.records[item.id]) for item in candidates]
+    def _place(self, run: JobRun, sample: Sample) -> InstanceHandle | None:
+        candidates = {item.id: item for item in self._candidates(run, sample)}
+        records = [(name, item.record) for name, item in candidates.items()]
         has_homes = self._policy.uses(Mechanism.GROUP_HOMES)
         by_pace = self._policy.uses(Mechanism.FAST_FOR_LONG)
         chosen = choose_for_sample(
@@ -128,7 +131,7 @@
             asyncio.get_running_loop().time(),
             (self._remaining(run, sample) or 0) if by_pace else 0,
         )
-        return None if chosen is None else self._view.instances[chosen]
+        return None if chosen is None else candidates[chosen]
 
     def _move_slow(self) -> None:
         if not self._policy.uses(Mechanism.MOVING):
@@ -181,29 +184,28 @@
     # What becomes of a sample.
 
     async def _run_sample(
-        self, run: JobRun, sample: Sample, instance: Instance
+        self, run: JobRun, sample: Sample, handle: InstanceHandle
     ) -> None:
         text = sample.text
         if any(version < run.job.min_version for version in text.versions):
             text.clear()
         one_try = SampleTry(
             self._view,
-            instance,
+            handle,
             sample.item,
             text,
             run.job.min_version,
             run.job.model,
             run.route.is_single_version,
             self._most_events(run, sample),
+            self.pump,
         )
         sample.running = one_try
         begun_s = asyncio.get_running_loop().time()
         resumed_after = text.last_event
         result = await one_try.run(run.job.host, run.give_up_s - begun_s)
-        sample.last_instance = (
-            instance.id if result.end is not TryEnd.COMPLETE else None
-        )
-        self._log_try(run, sample, instance, result, resumed_after, begun_s)
+        sample.last_instance = handle.id if result.end is not TryEnd.COMPLETE else None
+        self._log_try(run, sample, handle.id, result, resumed_after, begun_s)
         if run.took_try(sample, result):
             run.spawn(self._finish(run, sample))
         asyncio.get_running_loop().call_soon(self.pump)
@@ -212,7 +214,7 @@
         self,
         run: JobRun,
         sample: Sample,
-        instance: Instance,
+        instance_id: str,
         result: TryResult,
         resumed_after: int | None,
         begun_s: float,
@@ -223,7 +225,7 @@
             "item-tried",
             job=run.job.id,
             item=sample.item.id,
-            instance=instance.id,
+            instance=instance_id,
             outcome=result.end.value,
             reason=result.reason,
             resumed_after=resumed_after,
--- a/pistachioglade/jobs/_sample_try.py
+++ b/pistachioglade/jobs/_sample_try.py
@@ -3,14 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from enum import Enum
 from typing import Final
 
 import attrs
 
 from ..errors import Refusal
-from ..fleet import Instance, Item
-from ..forwarding import EventDecoder, FleetView, StreamEvent
+from ..fleet import Item
+from ..forwarding import (
+    EventDecoder,
+    FleetView,
+    InstanceHandle,
+    StreamEvent,
+    note_refusal,
+)
 from ..http1 import ClientConnection, Exchange, ResponseHead
 from ..platform import (
     belongs_to,
@@ -93,20 +100,23 @@
     def __init__(
         self,
         view: FleetView,
-        instance: Instance,
+        handle: InstanceHandle,
         item: Item,
         text: SampleText,
         min_version: int,
         model: str,
         is_single_version: bool,
         most_events: int | None = None,
+        on_first_answer: Callable[[], None] | None = None,
     ) -> None:
+        # Called when an instance answers that hadn't yet: there is room for more.
+        self._on_first_answer = on_first_answer
         self._is_single_version = is_single_version
         # Events at which the text ends at the latest; None if the caller doesn't say.
         self._most_events = most_events
         self._view = view
-        self._instance = instance
-        self._record = view.records[instance.id]
+        self._handle = handle
+        self._record = handle.record
         self._item = item
         self._text = text
         self._min_version = min_version
@@ -119,8 +129,11 @@
 
     async def run(self, host: str, time_left_s: float) -> TryResult:
         """Run to the end of the stream, or to what ends it sooner."""
+        if not self._view.may_send_to(self._handle.id):
+            # It left the list between the choice and this task's first step.
+            return TryResult(TryEnd.NOT_RUN, "not listed any more")
         connection: ClientConnection | Refusal | None = None
-        pool = self._view.pools[self._instance.id]
+        pool = self._handle.pool
         try:
             connection = await pool.acquire()
             if isinstance(connection, Refusal):
@@ -158,10 +171,9 @@
         now_s = asyncio.get_running_loop().time()
         if result.end in (TryEnd.BROKEN, TryEnd.UNREACHED):
             self._record.failed(now_s)
-        elif result.end is TryEnd.NOT_RUN:
-            self._record.refused(now_s)
         elif result.end is TryEnd.COMPLETE:
-            self._record.answered()
+            self._record.answered(self._model)
+            self._view.note_present(self._handle)
         return result
 
     def _send(
@@ -171,7 +183,7 @@
         last = self._text.last_event
         resumed = () if last is None else resume_fields(last)
         fields = (("Host", host), *item.fields, *resumed)
-        sent = request_fields(fields, self._instance.id, time_left_s, item.id)
+        sent = request_fields(fields, self._handle.id, time_left_s, item.id)
         return connection.start("POST", item.path, sent, item.body)
 
     async def _receive(self, exchange: Exchange) -> TryResult:
@@ -186,6 +198,13 @@
         judged = self._judge(head)
         return judged or await self._read_events(exchange)
 
+    def _note_answer(self) -> None:
+        was_known = self._record.has_answered
+        self._record.loaded(self._model)
+        self._view.note_present(self._handle)
+        if not was_known and self._on_first_answer is not None:
+            asyncio.get_running_loop().call_soon(self._on_first_answer)
+
     def _note_load(self, head: ResponseHead) -> None:
         load = instance_load(head)
         if load is not None:
@@ -193,16 +212,19 @@
             self._record.told_load(load.running, load.waiting, now_s)
 
     def _judge(self, head: ResponseHead) -> TryResult | None:
-        if did_not_run(head):
-            return TryResult(TryEnd.NOT_RUN, f"refused with {head.status}")
         if not belongs_to(head, self._item.id):
             return TryResult(TryEnd.BROKEN, "an answer to another request")
+        if did_not_run(head):
+            now_s = asyncio.get_running_loop().time()
+            kind = note_refusal(self._view, self._handle, head, now_s, self._model)
+            return TryResult(TryEnd.NOT_RUN, f"{kind.value}, by a {head.status}")
         if head.status == 422:
             return TryResult(TryEnd.IMPOSSIBLE, "422")
         if head.status == 500:
             return TryResult(TryEnd.FAILED, "500")
         if head.status != 200:
             return TryResult(TryEnd.BROKEN, f"answered {head.status}")
+        self._note_answer()
         self._version = weight_version(head)
         if self._version is not None:
             self._record.versions[self._model] = self._version
--- a/pistachioglade/jobs/tests/test_passing_on.py
+++ b/pistachioglade/jobs/tests/test_passing_on.py
@@ -18,7 +18,7 @@
 from .. import JobLedger, JobOwner, JobReader, Submission, encode_submission
 from .._job_run import JobRun
 from .._sample_scheduler import SampleScheduler
-from .test_scheduler import _entry, _run_of
+from .test_scheduler import _entry, run_of
 
 _ROUTE = {
     "name": "jobs",
@@ -146,10 +146,12 @@
         scheduler = SampleScheduler(
             view, Forwarder(view, "a"), Metrics(), runs, lambda: is_catching_up
         )
-        runs["job"] = _run_of(JobLedger(), 4)
+        runs["job"] = run_of(JobLedger(), 4)
         begun = runs["job"].samples["i3"]
         begun.text.parts, begun.text.last_event = ["x"], 0
         view.take_instance(_entry("one"), False)
+        # One that hasn't would get a single sample, whatever is catching up.
+        view.records["one"].answered()
         scheduler.is_enabled = True
         scheduler.pump()
         running = {
--- a/pistachioglade/jobs/tests/test_scheduler.py
+++ b/pistachioglade/jobs/tests/test_scheduler.py
@@ -39,7 +39,7 @@
     return Entry(name, 1, instance_entry("lm", slots=2, models=models), None)
 
 
-def _run_of(ledger: JobLedger, items: int) -> JobRun:
+def run_of(ledger: JobLedger, items: int) -> JobRun:
     fields: dict[str, Any] = {
         "model": "m",
         "items": [{"id": f"i{number}", "path": "/"} for number in range(items)],
@@ -70,8 +70,9 @@
         view = FleetView(lambda: None)
         runs: dict[str, JobRun] = {}
         scheduler = SampleScheduler(view, Forwarder(view, "a"), Metrics(), runs)
-        runs["job"] = _run_of(JobLedger(), 2)
+        runs["job"] = run_of(JobLedger(), 2)
         view.take_instance(_entry("gone"), False)
+        view.records["gone"].answered()
         scheduler.is_enabled = True
         scheduler.pump()
         samples = list(runs["job"].samples.values())
@@ -92,9 +93,11 @@
         view = FleetView(lambda: None)
         runs: dict[str, JobRun] = {}
         scheduler = SampleScheduler(view, Forwarder(view, "a"), Metrics(), runs)
-        runs["job"] = _run_of(JobLedger(), 7)
+        runs["job"] = run_of(JobLedger(), 7)
         for name in ("one", "two", "three"):
             view.take_instance(_entry(name), False)
+            # One that hasn't would get a single sample, whatever is counted.
+            view.records[name].answered()
         scheduler.is_enabled = True
         scheduler.pump()
         placed = [sample.running_at for sample in runs["job"].samples.values()]
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -197,6 +197,7 @@
             gather_s=lambda: _JOBS_GATHER_S,
             may_be_late=lambda: True,
         )
+        self._view.on_outdated.append(self._instances.hurry)
         self._view.on_change.append(self._take_limits)
         self._view.on_change.append(self._owner.reconcile_all)
         metrics.gauge(
--- a/pistachioglade/standins/_fleet_instance.py
+++ b/pistachioglade/standins/_fleet_instance.py
@@ -76,6 +76,10 @@
         self.resumed: dict[str, int] = {}
         # Orders in the order of their arrival.
         self.orders: list[dict[str, Any]] = []
+        # Requests for another instance that came here.
+        self.misdirected = 0
+        # Models whose requests are refused, as while their weights load.
+        self.loading: set[str] = set()
         self.running = 0
         self.port = 0
         self.is_leaving = False
@@ -148,8 +152,13 @@
         expected = request.field(names.EXPECTED_INSTANCE)
         not_run = ((names.NOT_EXECUTED, "1"), (names.ATTEMPT_ID, request_id))
         if expected not in (None, self.id):
+            self.misdirected += 1
             reply.send(Response(421, not_run))
             return
+        if self._model_of(request) in self.loading:
+            load = (names.INSTANCE_LOAD, f"{self.running},0,{self.slots}")
+            reply.send(Response(503, (*not_run, load)))
+            return
         if self.faults.take("refused"):
             reply.send(Response(503, not_run))
             return
@@ -161,6 +170,9 @@
         finally:
             self.running -= 1
 
+    def _model_of(self, request: Request) -> str:
+        return request.field(names.MODEL) or next(iter(self.versions), "")
+
     async def _answer(self, request: Request, reply: Reply, request_id: str) -> None:
         if self.faults.take("silent"):
             await asyncio.sleep(3600)
@@ -186,7 +198,7 @@
         request_id: str,
         fields: list[tuple[str, str]],
     ) -> None:
-        model = request.field(names.MODEL) or next(iter(self.versions))
+        model = self._model_of(request)
         last = request.field(names.LAST_EVENT_ID)
         first = 0 if last is None else int(last) + 1
         if last is not None:
