Jobs spread over as many entries as bear them

Cause: one entry ran all jobs of an upstream, or one a model above 24 engines, each drawn without regard to the other and to what an entry can bear: on entries of 0.12 cores its samples alone took four fifths of it, so that it answered late. A machine's speed (limits.cpu-cores) was left out of its capacity.

Change: the jobs of an upstream have as many homes as it takes for samples to need half of an entry's capacity at most, by the slots of all its engines; consecutive steps of a model and the models themselves go to different ones, by the step in the job's frame. A lost home is replaced alone. Homes prefer different engines, and tell each other every 0.25 s of the samples that they have where (SamplesRunning), so that a full one's samples go to another's free engines.

Ruled out: a home for each model (two steps of a model are open at once); engines divided for good (a home without jobs would leave half of them idle).

Mixed programs: an older one refuses a job's frame with a step; put entries in place together.

Shown: decisions/tests (spread, replacement, shared engines); red before, as one entry had all. Deployments whose entries bear all jobs keep one home.

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -41,7 +41,7 @@
     should_read_list,
 )
 from ._instance_runs import InstanceRun, run_of
-from ._job_home import capacity_of, home_key, home_of
+from ._job_home import capacity_of, engines_of_others, home_of, homes_of
 from ._job_retention import may_forget
 from ._kept_steps import FinishedStep, steps_to_forget
 from ._keys import Attach, KeyGate, Replay, Run
@@ -141,6 +141,7 @@
     "capacity_of",
     "choose_for_call",
     "choose_for_sample",
+    "engines_of_others",
     "failures_in_a_row",
     "fetch_sources",
     "fingers",
@@ -148,8 +149,8 @@
     "fitting_count",
     "heir_of",
     "hold_s",
-    "home_key",
     "home_of",
+    "homes_of",
     "is_fresh",
     "is_hopeless",
     "is_lost",
--- a/pistachioglade/decisions/_instance_choice.py
+++ b/pistachioglade/decisions/_instance_choice.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Container, Iterable, Iterator, Sequence
 from statistics import median_low
 from typing import Final
 
@@ -18,6 +18,10 @@
 #: Time for which an instance's word on its load is believed: about the work of two
 #: lookups, or a tenth of a sample.
 _LOAD_WORD_S: Final = 0.3
+#: Time for which another home's samples count that it told of.
+_TOLD_S: Final = 0.6
+#: What leaving an engine to the home that prefers it is worth, as a part of the slots.
+_PART_WORTH: Final = 0.5
 #: First rest of an instance that failed; an instance that only dropped one answer is
 #: back before the next burst.
 _FIRST_REST_S: Final = 0.25
@@ -72,7 +76,9 @@
     slots: int
     # Requests of this node there now.
     outstanding: int = 0
-    # Requests of other nodes, by the instance's last word.
+    # Samples of other homes, by home, with when they told of them.
+    told: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+    # Requests of other nodes, by the instance's last load report.
     others: int = 0
     # When it said so.
     others_s: float = float("-inf")
@@ -100,7 +106,10 @@
     def load(self, now_s: float) -> int:
         """Return the requests that are there as far as this node can tell."""
         is_believed = now_s - self.others_s < _LOAD_WORD_S
-        return self.outstanding + (self.others if is_believed else 0)
+        told = sum(
+            count for count, told_s in self.told.values() if now_s - told_s < _TOLD_S
+        )
+        return self.outstanding + max(self.others if is_believed else 0, told)
 
     def free_slots(self, now_s: float) -> int:
         """Return the slots that are free as far as this node can tell."""
@@ -230,12 +239,14 @@
     avoid: str | None,
     now_s: float,
     events_left: int = 0,
+    others: Container[str] = frozenset(),
 ) -> str | None:
     """Return the instance for a sample, None while none has a free slot.
 
     ``homes`` run samples of the same group and hold its prompt. ``avoid`` is the
     instance that the sample has just been lost at. ``events_left`` is the length that
-    is expected of it: long ones go to fast instances.
+    is expected of it: long ones go to fast instances. ``others`` are instances that
+    other homes prefer.
     """
     usual_s = usual_pace_s((record for _, record in records), now_s)
     fastest_s = min(_paces(records, now_s), default=0.0)
@@ -249,7 +260,8 @@
         behind_s = (record.pace_s(now_s) or fastest_s) - fastest_s
         tolerated_s = _PACE_TOLERANCE * fastest_s
         lost_s = max(0.0, behind_s - tolerated_s) * events_left
-        return load - home + slow + lost_s / _FULL_LOAD_WORTH_S, name
+        part = _PART_WORTH if name in others else 0.0
+        return load - home + slow + part + lost_s / _FULL_LOAD_WORTH_S, name
 
     able = [
         item
--- a/pistachioglade/decisions/tests/test_instance_choice.py
+++ b/pistachioglade/decisions/tests/test_instance_choice.py
@@ -212,3 +212,24 @@
     fleet = {"x": _record(outstanding=4, gap_s=0.041), "y": _record(gap_s=0.053)}
     assert choose_for_sample(tuple(fleet.items()), (), None, 0.0, 20) == "y"
     assert choose_for_sample(tuple(fleet.items()), (), None, 0.0, 120) == "x"
+
+
+def test_homes_leave_engines_to_each_other_until_theirs_are_full() -> None:
+    records = {"mine": _record(), "theirs": _record()}
+    records["mine"].outstanding = 3
+    chosen = choose_for_sample(
+        tuple(records.items()), (), None, 0.0, others=frozenset({"theirs"})
+    )
+    assert chosen == "mine"
+    records["mine"].outstanding = 8
+    chosen = choose_for_sample(
+        tuple(records.items()), (), None, 0.0, others=frozenset({"theirs"})
+    )
+    assert chosen == "theirs"
+    # What another home has there counts, though the engine hasn't told of it.
+    records["theirs"].told["home"] = 8, 0.0
+    chosen = choose_for_sample(
+        tuple(records.items()), (), None, 0.0, others=frozenset({"theirs"})
+    )
+    assert chosen is None
+    assert records["theirs"].free_slots(1.0) == 8
--- a/pistachioglade/decisions/tests/test_serving_tables.py
+++ b/pistachioglade/decisions/tests/test_serving_tables.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
 
 from .. import (
@@ -9,10 +11,11 @@
     CallPolicy,
     NeighbourView,
     PendingSample,
+    engines_of_others,
     fitting_count,
     heir_of,
-    home_key,
     home_of,
+    homes_of,
     is_lost,
     is_storeless,
     may_forget,
@@ -176,19 +179,63 @@
 
 def test_homes_move_only_with_their_entry() -> None:
     entries = {f"entry-{number}": 0.8 for number in range(6)}
-    keys = [home_key("lm", f"model-{number}", 200) for number in range(40)]
-    before = {key: home_of(key, entries) for key in keys}
+    keys = [f"lm-{number}" for number in range(40)]
+    before = {key: homes_of(key, 30, entries) for key in keys}
     fewer = {name: cores for name, cores in entries.items() if name != "entry-3"}
-    moved = {key for key in keys if home_of(key, fewer) != before[key]}
-    assert moved == {key for key in keys if before[key] == "entry-3"}
+    moved = {key for key in keys if homes_of(key, 30, fewer) != before[key]}
+    assert moved == {key for key in keys if before[key] == ("entry-3",)}
 
 
 def test_a_weak_entry_is_no_home_beside_strong_ones() -> None:
     entries = {"weak": 0.387, "strong": 2.15}
-    homes = {home_of(f"key-{number}", entries) for number in range(20)}
-    assert homes == {"strong"}
-    assert home_of("key", {"weak": 0.387}) == "weak"
-    assert home_of("key", {}) is None
+    homes = {homes_of(f"key-{number}", 30, entries) for number in range(20)}
+    assert homes == {("strong",)}
+    assert homes_of("key", 30, {"weak": 0.387}) == ("weak",)
+    assert homes_of("key", 30, {}) == ()
+    assert home_of((), ["m"], "m", 1) is None
+
+
+def test_jobs_spread_over_as_many_entries_as_bear_them() -> None:
+    """Entries of 0.12 cores: the one that ran all jobs was lost, then the next."""
+    small = {f"entry-{number}": 0.12 for number in range(12)}
+    homes = homes_of("lm", 36, small)
+    assert len(homes) == 2
+    assert len(homes_of("lm", 36, dict.fromkeys(small, 0.8))) == 1
+    assert len(homes_of("lm", 360, small)) == 11
+    assert len(homes_of("lm", 3600, small)) == 12
+    models = ["a", "b"]
+    # Two steps of each model are open at once.
+    for step in range(4):
+        spread = Counter(
+            home_of(homes, models, model, step + ahead)
+            for model in models
+            for ahead in range(2)
+        )
+        assert set(spread.values()) == {2}
+
+
+def test_a_lost_home_is_replaced_alone() -> None:
+    small = {f"entry-{number}": 0.12 for number in range(12)}
+    homes = homes_of("lm", 72, small)
+    assert len(homes) == 3
+    for lost in homes:
+        left = {name: part for name, part in small.items() if name != lost}
+        after = homes_of("lm", 72, left)
+        assert [name for name in after if name in homes] == [
+            name for name in homes if name != lost
+        ]
+
+
+def test_homes_share_engines_without_a_gap() -> None:
+    engines = [f"10.0.0.{number}:80" for number in range(10, 20)]
+    own = [
+        set(engines) - engines_of_others(home, ("x", "y"), engines)
+        for home in ("x", "y")
+    ]
+    assert own[0] | own[1] == set(engines)
+    assert not own[0] & own[1]
+    assert engines_of_others("x", ("x",), engines) == frozenset()
+    assert engines_of_others("elsewhere", ("x", "y"), engines) == frozenset()
 
 
 @pytest.mark.parametrize("models", [1, 2, 4])
--- a/pistachioglade/forwarding/_fleet_view.py
+++ b/pistachioglade/forwarding/_fleet_view.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 import attrs
 
@@ -246,6 +246,15 @@
             for item in self.open_instances(upstream)
         )
 
+    def note_samples(self, owner: str, by_engine: Mapping[str, int]) -> None:
+        """Take how many samples of another owner's jobs each engine has."""
+        now_s = self._now_s()
+        for instance_id, record in self.records.items():
+            record.told.pop(owner, None)
+            count = by_engine.get(instance_id, 0)
+            if count > 0:
+                record.told[owner] = count, now_s
+
     def note_absent(self, handle: InstanceHandle) -> None:
         """Use an instance no more at whose address another one answers.
 
--- a/pistachioglade/jobs/_ledger.py
+++ b/pistachioglade/jobs/_ledger.py
@@ -83,6 +83,11 @@
             return self.submission.model
         return "" if isinstance(self.job, Refusal) else self.job.model
 
+    @property
+    def step(self) -> int:
+        """Number of the step that it is."""
+        return 0 if self.submission is None else self.submission.step
+
     @property
     def is_whole(self) -> bool:
         """Whether all of its submission is here."""
--- a/pistachioglade/jobs/_owner.py
+++ b/pistachioglade/jobs/_owner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from typing import Final
@@ -55,6 +56,9 @@
         reader: JobReader,
         metrics: Metrics,
         policy: Policy = FULL_POLICY,
+        engines_of_others: Callable[[str], frozenset[str]] = lambda _upstream: (
+            frozenset()
+        ),
     ) -> None:
         self._metrics = metrics
         self._policy = policy
@@ -76,7 +80,13 @@
         self.runs: dict[str, JobRun] = {}
         self._catch_up_until_s = 0.0
         self._scheduler = SampleScheduler(
-            view, forwarder, metrics, self.runs, self._is_catching_up, policy
+            view,
+            forwarder,
+            metrics,
+            self.runs,
+            self._is_catching_up,
+            policy,
+            engines_of_others,
         )
         # Called when a job begins to run here.
         self.on_begin: list[Callable[[], None]] = []
@@ -322,6 +332,25 @@
         for callback in self.on_begin:
             callback()
 
+    def samples_by_engine(self) -> dict[str, int]:
+        """Return how many samples of this node's jobs are at each engine."""
+        return dict(
+            Counter(
+                sample.running_at
+                for run in self.runs.values()
+                for sample in run.samples.values()
+                if sample.running_at is not None
+            )
+        )
+
+    def fellow_owners(self) -> set[str]:
+        """Return the other owners of open jobs, whose samples share engines."""
+        return {
+            state.owner
+            for state in self._ledger.jobs.values()
+            if state.is_open and state.owner not in ("", self.name)
+        }
+
     def models(self) -> set[str]:
         """Return the models of the jobs that run here."""
         return {run.job.model for run in self.runs.values()}
--- a/pistachioglade/jobs/_records.py
+++ b/pistachioglade/jobs/_records.py
@@ -123,6 +123,8 @@
     part_count: int = 0
     # Digest of the text that the parts make up.
     digest: str = ""
+    # Number of the step that it is.
+    step: int = 0
 
     @property
     def is_whole(self) -> bool:
@@ -200,7 +202,7 @@
     except TypeError as error:
         return _unreadable("submission", error)
     texts = (read.owner, read.boot, read.host, read.path, read.model, read.digest)
-    numbers = (read.total, read.part_count)
+    numbers = (read.total, read.part_count, read.step)
     is_sound = (
         all(isinstance(text, str) for text in texts)
         and isinstance(read.accepted_s, int | float)
--- a/pistachioglade/jobs/_sample_scheduler.py
+++ b/pistachioglade/jobs/_sample_scheduler.py
@@ -45,8 +45,15 @@
         runs: Mapping[str, JobRun],
         is_catching_up: Callable[[], bool] = bool,
         policy: Policy = FULL_POLICY,
+        engines_of_others: Callable[[str], frozenset[str]] = lambda _upstream: (
+            frozenset()
+        ),
     ) -> None:
         self._policy = policy
+        # Returns the engines of an upstream that other homes prefer.
+        self._engines_of_others = engines_of_others
+        # The same by upstream, as of the last look for places.
+        self._others: dict[str, frozenset[str]] = {}
         self._view = view
         self._forwarder = forwarder
         self._metrics = metrics
@@ -62,6 +69,10 @@
         """Start, move and give up samples, for good."""
         while True:
             await asyncio.sleep(_LOOK_S)
+            self._others = {
+                name: self._engines_of_others(name)
+                for name in {run.upstream for run in self._runs.values()}
+            }
             self.pump()
             self._move_slow()
             self._give_up_old()
@@ -130,6 +141,7 @@
             sample.last_instance if len(records) > 1 else None,
             asyncio.get_running_loop().time(),
             (self._remaining(run, sample) or 0) if by_pace else 0,
+            self._others.get(run.upstream, frozenset()),
         )
         return None if chosen is None else candidates[chosen]
 
--- a/pistachioglade/messages/_entries.py
+++ b/pistachioglade/messages/_entries.py
@@ -59,6 +59,16 @@
     version: int
 
 
+@attrs.frozen
+class SamplesRunning:
+    """Tell another owner of jobs how many samples each engine has from here."""
+
+    # Name of the teller as an owner.
+    owner: str
+    # Samples by the id of their engine.
+    by_engine: dict[str, int]
+
+
 @attrs.frozen
 class StoredRecord:
     """Tell the node that runs a job of an object that the store has taken."""
--- a/pistachioglade/platform/_settings.py
+++ b/pistachioglade/platform/_settings.py
@@ -64,8 +64,8 @@
     result_retention_s: float
     # Largest object of the store, in bytes.
     max_object_bytes: int
-    # Share of a core that the machine gives.
-    cpu_share: float
+    # Processor of the machine, in cores.
+    cpu_cores: float
     # Bandwidth of the machine's link, in megabits a second.
     link_mbps: float
     # Memory of the machine, in megabytes.
@@ -112,7 +112,7 @@
         config_apply_s=_number(fields, "bounds.config-apply-ms") / 1000.0,
         result_retention_s=_number(fields, "bounds.status-retention-s"),
         max_object_bytes=int(_number(fields, "platform.max-value-bytes")),
-        cpu_share=_number(fields, "limits.cpu-share"),
+        cpu_cores=_number(fields, "limits.cpu-share") * _speed(fields),
         link_mbps=_number(fields, "limits.link-mbps"),
         memory_mb=int(_number(fields, "limits.memory-mb")),
         lease_s=_lease_s(fields),
@@ -141,6 +141,12 @@
         raise _FieldError(f"{name}: {text!r} is not a number") from None
 
 
+def _speed(fields: Mapping[str, str]) -> float:
+    """Return the speed of the machine's core, in times that of a usual one."""
+    name = "limits.cpu-cores"
+    return _number(fields, name) if name in fields else 1.0
+
+
 def _lease_s(fields: Mapping[str, str]) -> float:
     name = "bounds.lease-duration-ms"
     return _number(fields, name) / 1000.0 if name in fields else _DEFAULT_LEASE_S
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -114,11 +114,12 @@
             reader,
             metrics,
             policy,
+            lambda upstream: self._members.engines_of_others(upstream),
         )
         self._members = Members(
             settings.node,
             self._address,
-            capacity_of(settings.cpu_share, settings.link_mbps),
+            capacity_of(settings.cpu_cores, settings.link_mbps),
             boot,
             self._store,
             self._view,
@@ -141,6 +142,7 @@
         )
         self._peers = Peers(
             self._members,
+            self._view,
             boot,
             self._store,
             links,
@@ -266,6 +268,7 @@
         start("enabling-jobs", self._enable_jobs, may_end=True)
         start("enrolment", self._members.enrol, may_end=True)
         start("neighbour", self._neighbour.run)
+        start("samples-running", self._peers.tell_samples)
         start("orphans", self._peers.sweep)
         start("store-ways", self._ways.run, may_end=True)
         start("cleaner", self._cleaner.run)
@@ -300,7 +303,7 @@
         self._store.move_to(settings.store.host, settings.store.port)
         self._store.max_object_bytes = settings.max_object_bytes
         self._cleaner.retention_s = settings.result_retention_s
-        self._members.set_capacity(capacity_of(settings.cpu_share, settings.link_mbps))
+        self._members.set_capacity(capacity_of(settings.cpu_cores, settings.link_mbps))
 
     async def _keep_house(self) -> None:
         while True:
--- a/pistachioglade/serving/_job_calls.py
+++ b/pistachioglade/serving/_job_calls.py
@@ -113,7 +113,7 @@
         """
         upstream = route.shares[0].upstream
         submission = Submission(
-            self._members.home_for(upstream, job.model),
+            self._members.home_for(upstream, job.model, job.step),
             self._owner.boot,
             job.host,
             job.path,
@@ -121,6 +121,7 @@
             fields,
             job.model,
             len(job.items),
+            step=job.step,
         )
         kept, parts = split_submission(job.id, submission, self._store.max_object_bytes)
         for part in parts:
--- a/pistachioglade/serving/_members.py
+++ b/pistachioglade/serving/_members.py
@@ -13,8 +13,9 @@
     Mechanism,
     Policy,
     attendant_of,
-    home_key,
+    engines_of_others,
     home_of,
+    homes_of,
 )
 from ..errors import ErrorKind, Refusal, refuse
 from ..fleet import Instance
@@ -173,21 +174,36 @@
         now_s = asyncio.get_running_loop().time()
         return now_s >= self._unreached_until_s.get(node, now_s)
 
-    def home_for(self, upstream: str, model: str) -> str:
-        """Return the owner's name for new jobs of a model: this entry if in doubt."""
-        if not self._has_homes:
-            return self.own_name
+    def _homes(self, upstream: str) -> tuple[str, ...]:
         capacities = {
             name: listing.capacity
             for name, listing in self._listings.items()
             if self._is_reached(name) and not (self.is_leaving and name == self.node)
         }
-        engines = sum(1 for _ in self._view.open_instances(upstream))
-        home = home_of(home_key(upstream, model, engines), capacities)
+        slots = sum(item.slots for item in self._view.open_instances(upstream))
+        return homes_of(upstream, slots, capacities)
+
+    def home_for(self, upstream: str, model: str, step: int) -> str:
+        """Return the owner's name for a new job: this entry if in doubt."""
+        if not self._has_homes:
+            return self.own_name
+        configuration = self._view.configuration
+        known = configuration.upstreams.get(upstream) if configuration else None
+        models = sorted(known.models) if known else []
+        home = home_of(self._homes(upstream), models, model, step)
         if home is None:
             return self.own_name
         return f"{home}@{self.address_of_node(home)}"
 
+    def engines_of_others(self, upstream: str) -> frozenset[str]:
+        """Return the ids of the engines that other homes of an upstream prefer."""
+        engines = {
+            f"{item.host}:{item.port}": item.id
+            for item in self._view.open_instances(upstream)
+        }
+        others = engines_of_others(self.node, self._homes(upstream), engines)
+        return frozenset(engines[address] for address in others)
+
     def attendant_of(self, instance: Instance) -> str:
         """Return the entry that orders an engine which no process beside it orders."""
         reached = (
@@ -199,5 +215,5 @@
         return attendant_of(address, reached) or self.node
 
     def is_home(self, upstream: str, model: str) -> bool:
-        """Whether this entry runs new jobs of a model."""
-        return self.home_for(upstream, model) == self.own_name
+        """Whether this entry announces a model's versions."""
+        return self.home_for(upstream, model, 0) == self.own_name
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -16,6 +16,7 @@
     is_store_fresh,
 )
 from ..errors import ErrorKind, Refusal, refuse
+from ..forwarding import FleetView
 from ..jobs import (
     JOB_KIND,
     JobLedger,
@@ -43,6 +44,7 @@
     RelayAnswer,
     RelayCall,
     ResultPage,
+    SamplesRunning,
     SampleTexts,
     SentFields,
     StoredRecord,
@@ -65,6 +67,8 @@
 #: Time for a look at the store before a job is refused for want of it; the accepting
 #: entry waits PROBE_TIMEOUT_S for the answer.
 _LOOK_S: Final = 0.3
+#: Time between two reports of running samples to other owners.
+_TELL_SAMPLES_S: Final = 0.25
 #: Homes that a new job is offered to before it is left to its owner's heir.
 _PLACE_TRIES: Final = 3
 
@@ -75,6 +79,7 @@
     def __init__(
         self,
         members: Members,
+        view: FleetView,
         boot: str,
         store: StoreClient,
         links: LinkPool,
@@ -89,6 +94,7 @@
         # Takes on an engine that no process beside it orders.
         self._attend = attend
         self._members = members
+        self._view = view
         self._boot = boot
         self._store = store
         self._links = links
@@ -162,6 +168,26 @@
             await self._store.look(ENTRY_KIND, self._members.node, _LOOK_S)
         return is_store_fresh(self._store.age_s)
 
+    @_dispatch.register
+    async def _samples(self, message: SamplesRunning) -> Acknowledged:
+        self._view.note_samples(message.owner, message.by_engine)
+        return Acknowledged()
+
+    async def tell_samples(self) -> None:
+        """Tell other owners of the samples that run from here, for good."""
+        while True:
+            await asyncio.sleep(_TELL_SAMPLES_S)
+            fellows = self._owner.fellow_owners() if self._owner.runs else set()
+            if not fellows:
+                continue
+            message = SamplesRunning(self._owner.name, self._owner.samples_by_engine())
+            await asyncio.gather(
+                *(
+                    self._links.call(address_of(owner), message, _TELL_SAMPLES_S)
+                    for owner in fellows
+                )
+            )
+
     @_dispatch.register
     async def _texts(self, message: FetchTexts) -> SampleTexts:
         return self._owner.texts(message.job_id)
@@ -205,7 +231,7 @@
         if upstream is None or not state.is_open:
             return
         for _ in range(_PLACE_TRIES):
-            home = self._members.home_for(upstream, state.model)
+            home = self._members.home_for(upstream, state.model, state.step)
             if home == owner or state.owner != owner:
                 return
             # The new home needs the submission too; its watch may be a second late.
@@ -240,7 +266,7 @@
         if upstream is None:
             return self._owner.name
         for _ in range(_PLACE_TRIES):
-            home = self._members.home_for(upstream, state.model)
+            home = self._members.home_for(upstream, state.model, state.step)
             if home == self._owner.name:
                 break
             answer = await self._links.call(
--- a/pistachioglade/serving/_settings_watch.py
+++ b/pistachioglade/serving/_settings_watch.py
@@ -29,7 +29,7 @@
         "grace_s",
         "result_retention_s",
         "max_object_bytes",
-        "cpu_share",
+        "cpu_cores",
         "link_mbps",
     }
 )
--- a/pistachioglade/serving/tests/test_failing_work.py
+++ b/pistachioglade/serving/tests/test_failing_work.py
@@ -35,6 +35,7 @@
     "enabling-jobs",
     "enrolment",
     "neighbour",
+    "samples-running",
     "orphans",
     "store-ways",
     "cleaner",
--- a/pistachioglade/serving/tests/test_foreign_records.py
+++ b/pistachioglade/serving/tests/test_foreign_records.py
@@ -79,6 +79,6 @@
         assert members.names == ("sound",)
         assert members.owner_names == {"sound@h:1"}
         assert members.address_of_node("spoilt") == ""
-        assert members.home_for("up", "m") == "sound@h:1"
+        assert members.home_for("up", "m", 0) == "sound@h:1"
 
     run_virtual(work)
--- a/pistachioglade/serving/tests/test_lost_way.py
+++ b/pistachioglade/serving/tests/test_lost_way.py
@@ -67,7 +67,7 @@
     config_apply_s=2.0,
     result_retention_s=120.0,
     max_object_bytes=1_048_576,
-    cpu_share=0.8,
+    cpu_cores=0.8,
     link_mbps=1000.0,
     memory_mb=300,
 )
--- a/pistachioglade/serving/tests/test_peers.py
+++ b/pistachioglade/serving/tests/test_peers.py
@@ -58,7 +58,7 @@
     submission = Submission("other@h:2", "b", "h", "/", 0.0, fields)
     ledger.take(Entry("job", 1, encode_submission(submission), None), False)
     ways = StoreWays(members, client, links)
-    peers = Peers(members, "b", client, links, ledger, owner, ways, _attend)
+    peers = Peers(members, view, "b", client, links, ledger, owner, ways, _attend)
     neighbour = NeighbourWatch(members, client, links, ways, peers.inherit)
     return _Scene(view, ledger, members, peers, neighbour)
 
