A few entries watch the store, the others follow their copies over links

Cause: each of 58 entries watched instances, configuration and jobs by itself.

Change: of more than six entries one in sixteen (two at least) watches for the others, by rendezvous over the list of entries. An entry asks its relay for all changes behind its revision; the relay holds the question a quarter of the time that a leaving instance serves, answers from whole batches of its watch, and refuses once the store has not answered it for 0.35 of that time. A follower whose relay refuses, is silent or doesn't keep its revision asks the store at once and another relay later. Entries that run jobs watch instances themselves. Copies still never go back, and safety still rests on conditional writes alone.

Ruled out: watches that may be late (seconds old, while 2 to 4 s are allowed); a relay in each failure domain for one kind of change only; a ring (its delay grows with the nodes).

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -90,6 +90,15 @@
     should_strike_off,
 )
 from ._transfer import fetch_sources, wave_delay_s
+from ._watch_relays import (
+    RELAY_AGE_PART,
+    RELAY_GATHER_PART,
+    RELAY_HOLD_PART,
+    RELAY_REST_S,
+    RELAY_SLACK_S,
+    relay_for,
+    relays_of,
+)
 from ._weight_turns import MAX_LAG, rank_of, remembered_places, should_load
 
 __all__ = [
@@ -103,7 +112,12 @@
     "ORDER_WINDOW_S",
     "PROBE_INTERVAL_S",
     "PROBE_TIMEOUT_S",
+    "RELAY_AGE_PART",
+    "RELAY_GATHER_PART",
+    "RELAY_HOLD_PART",
     "RELAY_LOOK_S",
+    "RELAY_REST_S",
+    "RELAY_SLACK_S",
     "RETRY_PERCENT",
     "WITHOUT_VARIABLE",
     "AgentView",
@@ -170,6 +184,8 @@
     "probe_interval_s",
     "rank_of",
     "refusal_wait_s",
+    "relay_for",
+    "relays_of",
     "relays_to_ask",
     "relays_to_use",
     "remembered_places",
--- a/pistachioglade/decisions/_policy.py
+++ b/pistachioglade/decisions/_policy.py
@@ -57,6 +57,8 @@
     ANY_RELAY = "any-relay"
     # An entry that falls silent loses its jobs at once: when it is off the list.
     WATCHED_NEIGHBOUR = "watched-neighbour"
+    # A few entries watch the store for the others: each watches.
+    WATCH_RELAYS = "watch-relays"
 
 
 @attrs.frozen
--- a/pistachioglade/messages/_entries.py
+++ b/pistachioglade/messages/_entries.py
@@ -69,6 +69,44 @@
     by_engine: dict[str, int]
 
 
+@attrs.frozen
+class FetchChanges:
+    """Ask an entry that watches a kind for what has changed behind a revision."""
+
+    # Kind of objects.
+    kind: str
+    # Revision that the asker has.
+    revision: int
+    # Time for which the answer may be held until there is a change.
+    hold_s: float
+
+
+@attrs.frozen
+class ChangeRecord:
+    """A change of an object."""
+
+    # Name of the object.
+    name: str
+    # Its revision.
+    revision: int
+    # Its value.
+    value: Any
+    # Its status.
+    status: Any
+    # Whether it was removed.
+    is_removed: bool
+
+
+@attrs.frozen
+class ChangePage:
+    """All changes behind a revision, in their order."""
+
+    # The changes.
+    changes: tuple[ChangeRecord, ...]
+    # Revision of the store behind them.
+    revision: int
+
+
 @attrs.frozen
 class StoredRecord:
     """Tell the node that runs a job of an object that the store has taken."""
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -12,19 +12,21 @@
 
 from ..decisions import (
     FULL_POLICY,
+    RELAY_GATHER_PART,
     RETRY_PERCENT,
     Mechanism,
     Policy,
     RetryBudget,
     capacity_of,
 )
+from ..errors import Refusal
 from ..forwarding import FleetView, Forwarder, StreamForwarder
 from ..http1 import HttpServer, Reply, Request, Response, ServerLimits
 from ..jobs import JOB_KIND, JobCleaner, JobLedger, JobOwner, JobReader
 from ..links import Identity, LinkPool, LinkServer
 from ..logs import logger
 from ..metrics import Metrics
-from ..platform import ProcessSettings, names
+from ..platform import EntryChanges, ProcessSettings, names
 from ..store import Mirror, StoreClient
 from ..tasks import Supervisor
 from ..weights import UnattendedEngines
@@ -37,6 +39,7 @@
 from ._settings_watch import SettingsWatch
 from ._store_ways import StoreWays
 from ._version_announcer import VersionAnnouncer, is_attended, tell_attendant
+from ._watch_relays import WatchRelays
 
 #: Time in which changes of the configuration are gathered; they have 2 s and more to
 #: come into force.
@@ -140,6 +143,9 @@
             settings.checks_fences,
             policy,
         )
+        self._relays = WatchRelays(
+            self._members, links, self._store, settings.drain_s, policy
+        )
         self._peers = Peers(
             self._members,
             self._view,
@@ -150,6 +156,7 @@
             self._owner,
             self._ways,
             self._unattended.take,
+            self._relays.answer,
             policy,
         )
         self._neighbour = NeighbourWatch(
@@ -189,12 +196,14 @@
             names.CONFIGURATION_KIND,
             self._view.take_configuration,
             gather_s=lambda: _CONFIGURATIONS_GATHER_S,
+            follow=self._relays.changes,
         )
         self._instances = Mirror(
             self._store,
             names.INSTANCE_KIND,
             self._view.take_instance,
             gather_s=self._instances_gather_s,
+            follow=self._follow_instances,
         )
         self._jobs = Mirror(
             self._store,
@@ -202,7 +211,13 @@
             self._ledger.take,
             gather_s=lambda: _JOBS_GATHER_S,
             may_be_late=lambda: True,
+            follow=self._relays.changes,
         )
+        self._relays.mirrors = {
+            names.CONFIGURATION_KIND: self._configurations,
+            names.INSTANCE_KIND: self._instances,
+            JOB_KIND: self._jobs,
+        }
         self._view.on_outdated.append(self._instances.hurry)
         self._view.on_change.append(self._take_limits)
         self._view.on_change.append(self._owner.reconcile_all)
@@ -246,7 +261,15 @@
         is_home = bool(self._owner.runs)
         if is_home:
             return _INSTANCES_GATHER_AT_HOME_S
-        return _INSTANCES_GATHER_PART * self._settings.drain_s
+        is_relay = self._relays.is_relay
+        part = RELAY_GATHER_PART if is_relay else _INSTANCES_GATHER_PART
+        return part * self._settings.drain_s
+
+    async def _follow_instances(
+        self, kind: str, revision: int
+    ) -> EntryChanges | Refusal | None:
+        """Follow a relay, but not where jobs run: those want to know sooner."""
+        return None if self._owner.runs else await self._relays.changes(kind, revision)
 
     def _take_limits(self) -> None:
         configuration = self._view.configuration
@@ -257,7 +280,8 @@
     def _start_work(self) -> None:
         """Start all that the entry lives by, each under its name."""
         start = self._supervisor.start
-        beat = partial(self._store.beat, ENTRY_KIND, self._settings.node)
+        node = self._settings.node
+        beat = partial(self._store.beat, ENTRY_KIND, node, lambda: self._relays.beat_s)
         start("configurations", self._configurations.run)
         start("instances", self._instances.run)
         start("jobs", self._jobs.run)
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import singledispatchmethod
 from typing import Any, Final
 
@@ -34,7 +34,9 @@
 from ..messages import (
     Acknowledged,
     AskHome,
+    ChangePage,
     EngineUnattended,
+    FetchChanges,
     FetchResults,
     FetchSent,
     FetchTexts,
@@ -87,12 +89,15 @@
         owner: JobOwner,
         ways: StoreWays,
         attend: Callable[[EngineUnattended], Acknowledged | Refusal],
+        changes: Callable[[FetchChanges], Awaitable[ChangePage | Refusal]],
         policy: Policy = FULL_POLICY,
     ) -> None:
         self._policy = policy
         self._ways = ways
         # Takes on an engine that no process beside it orders.
         self._attend = attend
+        # Answers entries that follow this one's copies.
+        self._changes = changes
         self._members = members
         self._view = view
         self._boot = boot
@@ -196,6 +201,10 @@
     async def _engine(self, message: EngineUnattended) -> Acknowledged | Refusal:
         return self._attend(message)
 
+    @_dispatch.register
+    async def _follower(self, message: FetchChanges) -> ChangePage | Refusal:
+        return await self._changes(message)
+
     @_dispatch.register
     async def _relay(self, message: RelayCall) -> RelayAnswer | Refusal:
         return await self._ways.answer(message)
--- a/pistachioglade/serving/tests/test_peers.py
+++ b/pistachioglade/serving/tests/test_peers.py
@@ -16,7 +16,9 @@
 from ...messages import (
     Acknowledged,
     AskHome,
+    ChangePage,
     EngineUnattended,
+    FetchChanges,
     HomeAnswer,
     ProbeAnswer,
     StoredRecord,
@@ -46,6 +48,10 @@
     return refuse(ErrorKind.NOT_FOUND, "not played")
 
 
+async def _changes(message: FetchChanges) -> ChangePage | Refusal:
+    return refuse(ErrorKind.NOT_OWNER, "not played")
+
+
 def _scene(client: StoreClient, links: LinkPool) -> _Scene:
     view = FleetView(lambda: None)
     ledger = JobLedger()
@@ -58,7 +64,9 @@
     submission = Submission("other@h:2", "b", "h", "/", 0.0, fields)
     ledger.take(Entry("job", 1, encode_submission(submission), None), False)
     ways = StoreWays(members, client, links)
-    peers = Peers(members, view, "b", client, links, ledger, owner, ways, _attend)
+    peers = Peers(
+        members, view, "b", client, links, ledger, owner, ways, _attend, _changes
+    )
     neighbour = NeighbourWatch(members, client, links, ways, peers.inherit)
     return _Scene(view, ledger, members, peers, neighbour)
 
--- /dev/null
+++ b/pistachioglade/serving/tests/test_watch_relays.py
@@ -0,0 +1,262 @@
+"""Entries that follow others' copies of the store, while those are lost at any moment.
+
+Each of sixty entries watched the list of instances for itself: half of all that a calm
+day of the large deployment paid the store for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+import attrs
+import pytest
+
+from ...decisions import RELAY_GATHER_PART, relays_of
+from ...errors import ErrorKind, Refusal, refuse
+from ...messages import ChangePage, FetchChanges
+from ...platform import Entry, names
+from ...store import Mirror, StoreClient
+from ...store.tests.scripted import (
+    Condition,
+    ScriptedStore,
+    ScriptedWay,
+    now_s,
+    run_virtual,
+    until,
+)
+from .._watch_relays import WatchRelays
+
+#: Time for which a leaving instance serves: the shortest of the deployments.
+DRAIN_S: Final = 2.0
+NODES: Final = 20
+KIND: Final = names.INSTANCE_KIND
+
+
+@attrs.define
+class _Members:
+    """The list of entries, as one of them knows it."""
+
+    node: str
+    names: tuple[str, ...]
+    is_leaving: bool = False
+
+    def address_of_node(self, node: str) -> str:
+        return node
+
+
+class _Way(ScriptedWay):
+    """Counts the calls that are paid in full."""
+
+    paid = 0
+
+    async def request(self, method: str, target: str, *more: Any) -> Any:
+        self.paid += "allow-stale" not in target
+        return await super().request(method, target, *more)
+
+
+class _Node:
+    """One entry's copy, with its ways to the store and to the others."""
+
+    def __init__(self, name: str, fleet: _Fleet, policy: Any) -> None:
+        self.name = name
+        self._fleet = fleet
+        self.is_down = False
+        self.way = _Way(fleet.store)
+        self.client = StoreClient("store", 1)
+        self.client._pool = self.way  # type: ignore[assignment]
+        self.members = _Members(name, fleet.names)
+        self.relays = WatchRelays(
+            self.members,  # type: ignore[arg-type]
+            self,  # type: ignore[arg-type]
+            self.client,
+            DRAIN_S,
+            *policy,
+        )
+        self.mirror = Mirror(
+            self.client, KIND, self._take, gather_s=self._gather_s, follow=self._follow
+        )
+        self.relays.mirrors = {KIND: self.mirror}
+        # When each object was first seen here.
+        self.seen_s: dict[str, float] = {}
+        self.tasks = [
+            asyncio.create_task(self.mirror.run()),
+            asyncio.create_task(
+                self.client.beat("entries", name, lambda: self.relays.beat_s)
+            ),
+        ]
+
+    def _gather_s(self) -> float:
+        part = RELAY_GATHER_PART if self.relays.is_relay else 0.6
+        return part * DRAIN_S
+
+    async def _follow(self, kind: str, revision: int) -> Any:
+        return await self.relays.changes(kind, revision)
+
+    def _take(self, entry: Entry, is_removed: bool) -> None:
+        if is_removed:
+            self.seen_s[f"{entry.name} gone"] = now_s()
+        else:
+            self.seen_s.setdefault(entry.name, now_s())
+
+    async def call(self, address: str, message: FetchChanges, timeout_s: float) -> Any:
+        """Ask another node, as a pool of links does."""
+        other = self._fleet.nodes[address]
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.sleep(0.002)
+                if other.is_down or self.is_down:
+                    await asyncio.sleep(3600)
+                return await other.relays.answer(message)
+        except TimeoutError:
+            return refuse(ErrorKind.DEADLINE_EXCEEDED, "no answer")
+
+    def lose(self) -> None:
+        """End as a machine does that loses its power."""
+        self.is_down = True
+        for task in self.tasks:
+            task.cancel()
+
+
+class _Fleet:
+    """All nodes before one store."""
+
+    def __init__(self, policy: tuple[Any, ...] = ()) -> None:
+        self.store = ScriptedStore()
+        self.names = tuple(f"entry-{number:02d}" for number in range(NODES))
+        self.nodes = {name: _Node(name, self, policy) for name in self.names}
+        self.relays = [self.nodes[name] for name in relays_of(self.names)]
+
+    @property
+    def alive(self) -> list[_Node]:
+        return [node for node in self.nodes.values() if not node.is_down]
+
+    @property
+    def paid(self) -> int:
+        return sum(node.way.paid for node in self.nodes.values())
+
+    async def slowest_s(self, name: str, since_s: float, limit_s: float) -> float:
+        """Return how long a change took to the last node that lives."""
+        await until(since_s + limit_s)
+        missing = [node.name for node in self.alive if name not in node.seen_s]
+        assert not missing, (name, missing)
+        return max(node.seen_s[name] for node in self.alive) - since_s
+
+    def stop(self) -> None:
+        for node in self.nodes.values():
+            node.lose()
+
+
+def _play(case: Callable[[_Fleet], Awaitable[None]], *policy: Any) -> None:
+    async def work() -> None:
+        fleet = _Fleet(policy)
+        try:
+            await case(fleet)
+        finally:
+            fleet.stop()
+
+    run_virtual(work)
+
+
+def test_a_change_reaches_all_for_few_calls() -> None:
+    async def case(fleet: _Fleet) -> None:
+        await until(5.0)
+        before = fleet.paid
+        slowest = [0.0]
+        for number in range(40):
+            at_s = now_s()
+            fleet.store.put(KIND, f"i-{number}", {})
+            slowest.append(await fleet.slowest_s(f"i-{number}", at_s, 1.0))
+        assert max(slowest) < RELAY_GATHER_PART * DRAIN_S + 0.1
+        # Two relays of twenty entries, one call a change at most, and idle ends.
+        assert fleet.paid - before < 2 * 40 + NODES
+
+    _play(case)
+
+
+def test_an_object_that_is_removed_and_made_again_stays() -> None:
+    async def case(fleet: _Fleet) -> None:
+        fleet.store.put(KIND, "i", {"run": 1})
+        await until(5.0)
+        fleet.store.remove(KIND, "i")
+        fleet.store.put(KIND, "i", {"run": 2})
+        await until(8.0)
+        for node in fleet.alive:
+            assert node.mirror.entries["i"].value == {"run": 2}
+        fleet.store.remove(KIND, "i")
+        await until(11.0)
+        assert not any(node.mirror.entries for node in fleet.alive)
+
+    _play(case)
+
+
+@pytest.mark.parametrize("tenth", range(0, 20, 3))
+@pytest.mark.parametrize("lost", [1, 2])
+def test_relays_that_are_lost_hold_no_change_back(lost: int, tenth: int) -> None:
+    """They fall silent just before a change, one of them or all."""
+
+    async def case(fleet: _Fleet) -> None:
+        await until(10.0 + tenth / 10)
+        for relay in fleet.relays[:lost]:
+            relay.lose()
+        at_s = now_s()
+        fleet.store.put(KIND, "i", {})
+        slowest_s = await fleet.slowest_s("i", at_s, DRAIN_S)
+        assert slowest_s < DRAIN_S
+        # The next change reaches them by the relay that is left, or by the store.
+        at_s = now_s()
+        fleet.store.put(KIND, "j", {})
+        await fleet.slowest_s("j", at_s, DRAIN_S)
+
+    _play(case)
+
+
+@pytest.mark.parametrize("condition", [Condition.SILENT, Condition.REFUSED])
+@pytest.mark.parametrize("tenth", range(0, 20, 3))
+def test_a_relay_that_lacks_the_store_holds_no_change_back(
+    tenth: int, condition: Condition
+) -> None:
+    """It alone is cut off; the others are answerable for what they still use."""
+
+    async def case(fleet: _Fleet) -> None:
+        await until(10.0 + tenth / 10)
+        relay = fleet.relays[0]
+        relay.way.turn(condition)
+        at_s = now_s()
+        fleet.store.put(KIND, "i", {})
+        await until(at_s + DRAIN_S)
+        others = [node for node in fleet.alive if node is not relay]
+        assert all("i" in node.seen_s for node in others)
+
+    _play(case)
+
+
+def test_a_follower_whose_place_is_forgotten_lists_anew() -> None:
+    async def case(fleet: _Fleet) -> None:
+        await until(5.0)
+        for relay in fleet.relays:
+            relay.mirror.log.reset(fleet.store.revision + 1)
+        fleet.store.put(KIND, "i", {})
+        fleet.store.put(KIND, "j", {})
+        await until(8.0)
+        assert all("j" in node.seen_s for node in fleet.alive)
+
+    _play(case)
+
+
+def test_an_entry_that_is_no_relay_refuses_to_be_followed() -> None:
+    async def case(fleet: _Fleet) -> None:
+        await until(2.0)
+        follower = next(node for node in fleet.alive if node not in fleet.relays)
+        answer = await follower.relays.answer(FetchChanges(KIND, 0, 0.1))
+        assert isinstance(answer, Refusal)
+        leaving = fleet.relays[0]
+        assert isinstance(
+            await leaving.relays.answer(FetchChanges(KIND, 1, 0.1)), ChangePage
+        )
+        leaving.members.is_leaving = True
+        answer = await leaving.relays.answer(FetchChanges(KIND, 1, 0.1))
+        assert isinstance(answer, Refusal)
+
+    _play(case)
--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -54,7 +54,7 @@
 #: Time between two small reads by which a process sees that the store has gone and
 #: come back; such reads cost a tenth of a call. Watches that were sent meanwhile may
 #: never be answered, and are sent anew.
-_BEAT_S: Final = 1.0
+BEAT_S: Final = 1.0
 #: The same while the store doesn't answer, so that its return is seen soon.
 _DOUBT_BEAT_S: Final = 0.3
 
@@ -183,12 +183,15 @@
         waiter.add_done_callback(self._renewals.discard)
         return waiter
 
-    async def beat(self, kind: str, name: str) -> None:
+    async def beat(
+        self, kind: str, name: str, interval_s: Callable[[], float] = lambda: BEAT_S
+    ) -> None:
         """Read a small object, which need not exist, whenever nothing else is."""
         while True:
-            await asyncio.sleep(_BEAT_S if self.is_reached else _DOUBT_BEAT_S)
+            usual_s = interval_s()
+            await asyncio.sleep(usual_s if self.is_reached else _DOUBT_BEAT_S)
             answered_s = self.answered_s or 0.0
-            if asyncio.get_running_loop().time() - answered_s >= _BEAT_S / 2:
+            if asyncio.get_running_loop().time() - answered_s >= usual_s / 2:
                 call = read_call(kind, name, may_be_old=True)
                 ways = chain((self.direct,), self._around.ways())
                 await self._ask_each(ways, call, self._repeatable_s)
--- a/pistachioglade/store/_watch.py
+++ b/pistachioglade/store/_watch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import Final
 
@@ -11,6 +11,7 @@
 from ..errors import ErrorKind, Refusal, refuse
 from ..logs import logger
 from ..platform import Entry, EntryChanges
+from ._change_log import ChangeLog
 from ._client import StoreClient
 
 #: Time that one watch waits. Each is paid for; a connection that has fallen silent is
@@ -36,6 +37,11 @@
 OnChange = Callable[[Entry, bool], None]
 
 
+#: Returns the changes of a kind behind a revision as another node knows them, or None
+#: if the store has to be asked.
+Follow = Callable[[str, int], Awaitable[EntryChanges | Refusal | None]]
+
+
 class Mirror:
     """Follows one kind; never goes back behind a revision that it has shown.
 
@@ -52,7 +58,13 @@
         hold_s: float = WATCH_HOLD_S,
         gather_s: Callable[[], float] = float,
         may_be_late: Callable[[], bool] = bool,
+        follow: Follow | None = None,
     ) -> None:
+        # Asks another node for changes; None if there is none to follow.
+        self._ask_relay = follow
+        self._is_relayed = False
+        # Latest changes, for nodes that follow this copy.
+        self.log = ChangeLog()
         self._store = store
         self._kind = kind
         self._on_change = on_change
@@ -109,6 +121,7 @@
 
     def _take_list(self, found: dict[str, Entry], revision: int) -> None:
         self._revision = revision
+        self.log.reset(revision)
         self._touch()
         gone = [
             entry
@@ -148,7 +161,8 @@
                 await asyncio.sleep(_PAUSE_S)
                 return
             self._revision = max(self._revision, told.revision)
-            if told.changes:
+            self.log.add(told.changes, self._revision)
+            if told.changes and not self._is_relayed:
                 await self._pause(self._gather_s())
 
     async def _pause(self, gather_s: float) -> None:
@@ -173,12 +187,7 @@
         renewal = self._store.renewal()
         hurry = asyncio.get_running_loop().create_task(self._is_hurried.wait())
         watch = asyncio.get_running_loop().create_task(
-            self._store.changes(
-                self._kind,
-                self._revision,
-                self._hold_s,
-                is_cheap and self._may_be_late(),
-            )
+            self._told(is_cheap and self._may_be_late())
         )
         try:
             await asyncio.wait(
@@ -189,6 +198,17 @@
             for waiter in (renewal, hurry, watch):
                 waiter.cancel()
 
+    async def _told(self, may_be_old: bool) -> EntryChanges | Refusal:
+        """Return changes, by way of another node's copy where there is one."""
+        if self._ask_relay is not None:
+            told = await self._ask_relay(self._kind, self._revision)
+            self._is_relayed = told is not None
+            if told is not None:
+                return told
+        return await self._store.changes(
+            self._kind, self._revision, self._hold_s, may_be_old
+        )
+
     @property
     def age_s(self) -> float:
         """Seconds since a call for this kind last succeeded; infinite before that."""
