Comments give a reason or nothing; our own scale run goes

Comments that told how a value was chosen, which log showed it or what was before keep a reason in a few words or go (37 places in decisions/, jobs/, serving/, store/, http1/).

--- a/pistachioglade/decisions/_call_tries.py
+++ b/pistachioglade/decisions/_call_tries.py
@@ -64,8 +64,8 @@
     return round(0.5 * aim_s, 3)
 
 
-#: Silence of a stream after which it goes on elsewhere: callers leave after 2 s, and a
-#: load of weights halts an engine for 0.9 s.
+#: Silence of a stream after which it goes on elsewhere: longer than a load of weights,
+#: and before callers leave.
 STREAM_SILENCE_S: Final = 1.4
 
 
--- a/pistachioglade/decisions/_checkpoints.py
+++ b/pistachioglade/decisions/_checkpoints.py
@@ -13,13 +13,10 @@
 Sample = TypeVar("Sample", bound=Hashable)
 
 #: Least time between two saves of a job, and so what a death costs of a sample at most.
-#: A save is one call for all samples of a job: two and a half calls a second cost less
-#: than 0.002 of a day's worth; the half second that a death costs, 0.05 and more
-#: (docs/MEASUREMENTS.md, round 11).
 _LEAST_INTERVAL_S: Final = 0.4
 #: Longest such time.
 _LONGEST_INTERVAL_S: Final = 1.5
-#: Bytes of texts that a job may save in a second: a fifteenth of a link of 100 Mbit/s.
+#: Bytes of texts that a job may save in a second: a small part of a small link.
 _BYTES_PER_S: Final = 800_000
 #: Events by which the samples of a save have to differ from the last one, together;
 #: fewer are made again in the time of a save.
--- a/pistachioglade/decisions/_instance_choice.py
+++ b/pistachioglade/decisions/_instance_choice.py
@@ -25,15 +25,14 @@
 #: First rest of an instance that failed; an instance that only dropped one answer is
 #: back before the next burst.
 _FIRST_REST_S: Final = 0.25
-#: Longest rest: the list of instances names a dead one within three heartbeats (3.6 s).
+#: Longest rest: the list of instances drops a dead one within three heartbeats.
 _LONGEST_REST_S: Final = 3.0
 #: First pause of an instance that refused: about the time until one of its slots is
 #: free.
 _FIRST_PAUSE_S: Final = 0.06
-#: Longest such pause: a load of weights takes 0.9 s, and its end should be seen soon.
+#: Longest such pause: the end of a load of weights should be seen soon.
 _LONGEST_PAUSE_S: Final = 0.25
-#: Load, as a part of the slots, that staying in the failure domain may cost: two of
-#: six slots, which wait for nobody.
+#: Load, as a part of the slots, that staying in the failure domain may cost.
 _DOMAIN_WORTH: Final = 0.34
 #: What sharing a prompt with running samples is worth, as a part of the slots: a home
 #: is left only once it is full.
@@ -50,8 +49,6 @@
 #: neighbours on an instance and the way of an event move it by as much.
 _PACE_TOLERANCE: Final = 0.1
 #: Time that a sample would lose at an instance that weighs as much as a full load.
-#: Instances of one upstream differed by 1.3 for good: a step's longest samples took 6.5
-#: to 6.8 s at the slow ones and 5.2 to 5.4 s at the others, by what place was free.
 _FULL_LOAD_WORTH_S: Final = 1.0
 #: Weight of the newest gap in an instance's pace.
 _PACE_WEIGHT: Final = 0.2
--- a/pistachioglade/decisions/_relay_choice.py
+++ b/pistachioglade/decisions/_relay_choice.py
@@ -23,9 +23,8 @@
 _WORD_S: Final = 1.0
 #: Entries that are asked in one look.
 _ASKED_AT_ONCE: Final = 3
-#: Entries that are ever asked. Where a third of them is cut off, six that all are cut
-#: off too happen once in 700 times; asking all would open links of each to each while
-#: the store itself is away.
+#: Entries that are ever asked: asking all would open links of each to each while the
+#: store itself is away.
 _MOST_ASKED: Final = 6
 #: Ways that one call tries: each may cost the call its whole time.
 _MOST_WAYS: Final = 2
--- a/pistachioglade/decisions/_restarts.py
+++ b/pistachioglade/decisions/_restarts.py
@@ -12,13 +12,13 @@
 #: Pause behind the first failure: most come from one answer or one object, and a list
 #: that is followed again within half a second is news for no caller.
 _FIRST_PAUSE_S: Final = 0.1
-#: Longest pause: a new list is read in 4 ms, and a node may be some seconds behind.
+#: Longest pause: what a node believes may be that old.
 _LONGEST_PAUSE_S: Final = 5.0
 #: Time for which work has to have run for its earlier failures to be forgotten: longer
 #: than all pauses together.
 _SOUND_S: Final = 30.0
-#: Failures in a row at which work is given up: 11 s behind the first. The process ends
-#: in order then, and the platform starts it anew.
+#: Failures in a row at which work is given up. The process ends in order then, and the
+#: platform starts it anew.
 _MOST_FAILURES: Final = 8
 
 
--- a/pistachioglade/decisions/_result_batches.py
+++ b/pistachioglade/decisions/_result_batches.py
@@ -29,16 +29,12 @@
 #: trainer waits for: of two batches, a trainer reads the second half a second later.
 _TOGETHER_S: Final = 0.5
 #: The same once the group could be read too late: samples that end at their most tokens
-#: lie some 0.1 s apart.
+#: end close together.
 _TOGETHER_LATE_S: Final = 0.15
-#: Time behind the due time at which a group still has to be written: the users count it
-#: as on time when it is read within 0.7 s, and a write and a reader's way take 0.2 s.
-#: Instances differ by 0.3 s over a step's longest samples, so that a shorter patience
-#: wrote two batches 30 ms apart, and trainers read the second 0.8 s behind the first,
-#: 8.6 s into steps of 7.5 s (read off logs of twenty instances and four trainers).
+#: Time behind the due time at which a group still has to be written to count as on
+#: time: the users' grace less a write and a reader's way.
 _STILL_ON_TIME_S: Final = 0.5
-#: How far the end of a sample may be behind what its pace says: two events, which come
-#: in bursts. Without it, a wait was broken off 15 ms before the sample ended.
+#: How far the end of a sample may be behind what its pace says: events come in bursts.
 _END_JITTER_S: Final = 0.1
 
 
--- a/pistachioglade/decisions/_sample_order.py
+++ b/pistachioglade/decisions/_sample_order.py
@@ -17,8 +17,7 @@
 
 import attrs
 
-#: Time of one output token, in seconds; the sheets' engines take 0.64 to 0.7 ms, and
-#: only the order matters.
+#: Time of one output token, in seconds; only the order matters.
 _TOKEN_S: Final = 0.0007
 #: How much more urgent a group is that was left over from an earlier step, in seconds:
 #: the length of a usual sample.
--- a/pistachioglade/decisions/_store_outage.py
+++ b/pistachioglade/decisions/_store_outage.py
@@ -16,13 +16,10 @@
 import attrs
 
 #: Time behind the store's return for which an instance that has left the list stays in
-#: use: the platform says that those that live are back within about two seconds. A node
-#: that no way was open to sees the return up to 0.75 s late (a call of 0.45 s that is
-#: lost, and a pause of 0.3 s), and is answerable for what it sends 3 s behind it.
+#: use: those that live are back within about two seconds.
 _LAPSE_GRACE_S: Final = 2.2
 #: Time for which calls have to go unanswered by every way: one that was lost or refused
-#: on the way says nothing of the store, and entries lapse only after three heartbeats
-#: (3.6 s) of silence.
+#: on the way says nothing of the store, and entries lapse only after three heartbeats.
 _LEAST_OUTAGE_S: Final = 0.5
 
 
--- a/pistachioglade/decisions/_takeover.py
+++ b/pistachioglade/decisions/_takeover.py
@@ -15,9 +15,9 @@
 
 #: Time between two probes of the neighbour.
 PROBE_INTERVAL_S: Final = 0.4
-#: Time for the answer to a probe: a loaded entry answers within some 50 ms.
+#: Time for the answer to a probe.
 PROBE_TIMEOUT_S: Final = 0.5
-#: Time for the answer to a probe of the neighbour: six times what a loaded one takes.
+#: Time for the answer to a probe of the neighbour before another is sent.
 NEIGHBOUR_TIMEOUT_S: Final = 0.3
 #: Silence after which the neighbour's jobs are taken over: two missed probes. A step's
 #: longest samples fill its time but for half a second, so that each tenth counts.
@@ -33,16 +33,14 @@
 #: Time between two probes of a neighbour that missed the last one.
 _DOUBT_INTERVAL_S: Final = 0.12
 #: Connections refused in a row after which a neighbour's process has ended: its machine
-#: answers and nobody listens. One alone may fall between two processes; a process that
-#: starts again needs half a second and more, and has to read all its jobs anew.
+#: answers and nobody listens. One alone may fall between two processes.
 _LOST_AFTER_REFUSED: Final = 3
 #: Time without the store after which an entry can't list results in time.
 _STORELESS_AFTER_S: Final = 1.2
-#: Time without the store after which an entry leaves the list: an idle one hears from
-#: the store every 1.5 s at the latest, and 0.3 s later where the store is slow.
+#: Time without the store after which an entry leaves the list: longer than an idle one
+#: goes without a call.
 _STRUCK_OFF_AFTER_S: Final = 2.0
-#: Age of the store's last answer up to which an entry takes a job without another look:
-#: an entry that runs jobs saves texts every 0.4 s.
+#: Age of the store's last answer up to which an entry takes a job without another look.
 _FRESH_S: Final = 0.5
 
 
@@ -110,7 +108,7 @@
 def should_strike_off(view: NeighbourView) -> bool:
     """Whether a neighbour that lives without the store leaves the list of entries.
 
-    New jobs go to listed entries, and waited 0.3 s each for its refusal. It lists
+    New jobs go to listed entries, and each would wait for its refusal. It lists
     itself anew once it reaches the store.
     """
     return _lacks_store(view, _STRUCK_OFF_AFTER_S)
--- a/pistachioglade/http1/_client.py
+++ b/pistachioglade/http1/_client.py
@@ -14,8 +14,7 @@
 
 #: Unread bytes of a body at which reading from the peer pauses.
 _HIGH_WATER_BYTES: Final = 512 * 1024
-#: Seconds without an acknowledged byte after which the kernel gives a peer up: under
-#: the 3 s within which a silent connection has to be noticed.
+#: Milliseconds without an acknowledged byte after which the kernel gives a peer up.
 _SILENCE_MS: Final = 2500
 
 
--- a/pistachioglade/jobs/_owner.py
+++ b/pistachioglade/jobs/_owner.py
@@ -28,8 +28,7 @@
 #: Pause before the results of a job that is taken over are read again.
 _CATCH_UP_PAUSE_S: Final = 0.2
 #: Longest time for which samples of a job that has passed on run on here: its next
-#: owner asked for their texts within 0.17 to 0.35 s where eight jobs passed on at once.
-#: One that can't ask starts them elsewhere, and the users allow 0.4 s of both.
+#: owner asks for their texts by then, or starts them elsewhere.
 _RUN_ON_S: Final = 0.4
 #: Time for which samples that haven't begun wait for jobs that are being taken over:
 #: what of those was running elsewhere ends a step, and goes on first.
@@ -145,8 +144,7 @@
     def _let_go(self, run: JobRun) -> None:
         """Let a job go whose next owner will ask for its texts.
 
-        Its samples run on until then: stopped at once, each lost the 0.2 to 0.35 s in
-        which the next owner read the job, and steps of 7.4 s ended behind 8.2 s.
+        Its samples run on while the next owner reads the job.
         """
         self._handed_over[run.state.id] = run
         if not self._policy.uses(Mechanism.RUNNING_ON):
@@ -201,9 +199,8 @@
         """Return the texts that an earlier owner has made.
 
         A node that starts again has run the job itself since it took it over, so that
-        its own save is newer than the earlier owner's: by 50 events of each running
-        sample, two seconds of a step, in logs of a fleet that was killed 2 s after a
-        takeover. Of two texts of a sample the longer one counts.
+        its own save is newer than the earlier owner's. Of two texts of a sample the
+        longer one counts.
         """
         if not state.earlier_owner:
             return SampleTexts(())
--- a/pistachioglade/jobs/_records.py
+++ b/pistachioglade/jobs/_records.py
@@ -16,8 +16,8 @@
     JOB.pDIGEST.N    the N-th part of what the trainer sent
 
 What a trainer sent, 50 to 100 kB a job, is read by the entry that runs the job and by
-few others. In the watched kind, all entries of a fleet that starts again read all of it
-at once: 22 entries before 30 jobs ran nothing for 0.8 s.
+few others. In the watched kind, all entries of a fleet that starts again would read all
+of it at once.
 
 Texts of samples that are not listed stand in one object for each node, the one thing
 that is replaced, since losing any state of it costs only time.
--- a/pistachioglade/jobs/_result_writer.py
+++ b/pistachioglade/jobs/_result_writer.py
@@ -189,8 +189,7 @@
 
         Each try holds what has been finished by then. One whose answer was lost may
         take effect later; of all tries for a number the store takes one, and that one
-        is in force. Before, what ended in an outage was read in two pages, the second
-        0.7 s behind the first.
+        is in force.
         """
         state = self._state
         number = state.next_batch
--- a/pistachioglade/jobs/_sample_try.py
+++ b/pistachioglade/jobs/_sample_try.py
@@ -28,8 +28,8 @@
     weight_version,
 )
 
-#: Time without an event after which a stream is taken up elsewhere: a load of weights
-#: halts an engine for 0.9 s, and for twice that while many load.
+#: Time without an event after which a stream is taken up elsewhere: longer than a load
+#: of weights while many load.
 SILENCE_S: Final = 2.5
 #: Time for the head of an answer: the engine's queue and the same halt.
 _HEAD_S: Final = 3.0
--- a/pistachioglade/load/_program.py
+++ b/pistachioglade/load/_program.py
@@ -11,12 +11,12 @@
 import click
 
 from ..config import SettingsError
-from ._capacity import measure_capacity
-from ._capacity_page import renew_page
+from ..errors import Refusal
 from ._compare import Workload, compare, render_comparison
 from ._demo import run_demo
 from ._experiments import EXPERIMENTS
 from ._fault_run import run_faults
+from ._sweep_page import Sweep, plot_sweeps, read_sweep, render_sweeps, renew_sweeps
 
 
 def _end(number: int, _frame: object) -> None:
@@ -64,32 +64,22 @@
         click.echo(f"{what:44} {figure:10.4f}")
 
 
-@main.command("capacity")
-@click.option("--nodes", default="8,16,32,64", help="Sizes of the fleet.")
-@click.option("--samples", default="1024,2048,4096,8192", help="Sizes of a step.")
-@click.option("--trainers", default="2,7,14", help="Sizes of the declarative file.")
-@click.option("--output", default="", help="File for the readings, as JSON.")
-def _capacity(nodes: str, samples: str, trainers: str, output: str) -> None:
-    """Measure what control costs at several sizes."""
-    sizes = [
-        [int(item) for item in text.split(",")] for text in (nodes, samples, trainers)
-    ]
-    readings = measure_capacity(*sizes)
-    text = json.dumps([attrs.asdict(item) for item in readings], indent=1)
-    if output:
-        Path(output).write_text(text + "\n", encoding="utf-8")
-    click.echo(text)
-
-
-@main.command("capacity-page")
-@click.argument("readings")
-@click.argument("page")
-def _capacity_page(readings: str, page: str) -> None:
-    """Recompute the tables of docs/CAPACITY.md from readings."""
+@main.command("sweep-page")
+@click.argument("entries", nargs=-1, required=True)
+@click.option("--page", default="docs/CAPACITY.md", help="Page to renew.")
+@click.option("--plot", default="docs/capacity/sweeps.svg", help="Plot to write.")
+@click.option("--target", default=670, help="Machines to carry the growth on to.")
+def _sweep_page(entries: tuple[str, ...], page: str, plot: str, target: int) -> None:
+    """Renew the tables of docs/CAPACITY.md from journal entries of sweeps."""
+    read = [read_sweep(Path(entry)) for entry in entries]
+    for refusal in (item for item in read if isinstance(item, Refusal)):
+        raise click.ClickException(refusal.reason)
+    sweeps = [item for item in read if isinstance(item, Sweep)]
     path = Path(page)
     text = path.read_text(encoding="utf-8")
-    fields = json.loads(Path(readings).read_text(encoding="utf-8"))
-    path.write_text(renew_page(text, fields), encoding="utf-8")
+    tables = render_sweeps(sweeps, target)
+    path.write_text(renew_sweeps(text, tables), encoding="utf-8")
+    Path(plot).write_text(plot_sweeps(sweeps), encoding="utf-8")
 
 
 @main.command("faults")
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -41,8 +41,8 @@
 from ._version_announcer import VersionAnnouncer, is_attended, tell_attendant
 from ._watch_relays import WatchRelays
 
-#: Time in which changes of the configuration are gathered; they have 2 s and more to
-#: come into force.
+#: Time in which changes of the configuration are gathered; they have seconds to come
+#: into force.
 _CONFIGURATIONS_GATHER_S: Final = 0.3
 #: Part of the time for which a leaving instance serves in which changes of the list of
 #: instances are gathered: each load of weights changes it. The rest is left to the
@@ -51,8 +51,7 @@
 #: The same where jobs run, in seconds: those want to know sooner who has loaded.
 _INSTANCES_GATHER_AT_HOME_S: Final = 0.4
 #: Time in which submissions, owners and ends of jobs are gathered. Owners are told at
-#: once over links; the watch is for what those lose, within the 3 s in which an end has
-#: to take effect.
+#: once over links; the watch is for what those lose.
 _JOBS_GATHER_S: Final = 1.0
 #: Time between two looks at idle connections and lapsed instances.
 _HOUSEKEEPING_S: Final = 0.25
--- a/pistachioglade/serving/_job_calls.py
+++ b/pistachioglade/serving/_job_calls.py
@@ -38,8 +38,8 @@
 _ACCEPT_WITHIN_S: Final = 1.5
 #: Time within which the end of a job is settled with the store.
 _END_WITHIN_S: Final = 3.0
-#: Time for that until it is asked whether the job is complete: an answer of the store
-#: takes 8 ms, and some 0.2 s where it is slow.
+#: Time for that until it is asked whether the job is complete: longer than an answer of
+#: a slow store.
 _END_AT_ONCE_S: Final = 0.3
 #: When a trainer comes again with a job that could not be stored: another node may
 #: take it at once.
@@ -208,8 +208,8 @@
         """End a job; the answer follows the store's, or needs none.
 
         Nothing of a job runs any more whose results are all listed: its end changes
-        nothing but how long they are kept. Its trainer goes on to train while the store
-        is away; before, it was refused until the store was back, and trained then.
+        nothing but how long they are kept, so that its trainer goes on to train while
+        the store is away.
         """
         state = await self._find(job_id)
         if isinstance(state, Refusal):
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -62,9 +62,7 @@
 #: an entry that starts again lists itself within a second.
 _ORPHAN_AFTER_S: Final = 1.5
 #: Time within which a takeover is written: through an outage of the store of some
-#: seconds, so that the job goes on with the store's first answer. A takeover that waits
-#: for the next probe after a failed write went on 2.9 s behind that answer, in a log of
-#: an owner that was lost in an outage of 4 s.
+#: seconds, so that the job goes on with the store's first answer.
 _TAKE_OVER_WITHIN_S: Final = 5.0
 #: Time for a look at the store before a job is refused for want of it; the accepting
 #: entry waits PROBE_TIMEOUT_S for the answer.
@@ -76,7 +74,7 @@
 
 
 class Peers:
-    """Answers other entries and watches the one before this one."""
+    """Answers other entries, and passes jobs on."""
 
     def __init__(
         self,
--- a/pistachioglade/serving/_store_ways.py
+++ b/pistachioglade/serving/_store_ways.py
@@ -25,8 +25,8 @@
 from ..store import Relay, StoreClient
 from ._members import Members
 
-#: Time for an answer on the way to the store: a loaded entry answers within 50 ms, and
-#: a link to one that wasn't asked before has to be opened first.
+#: Time for an answer on the way to the store; a link to an entry that wasn't asked
+#: before has to be opened first.
 _ASK_S: Final = 0.3
 
 
@@ -74,8 +74,7 @@
         await asyncio.gather(*(self._ask(name) for name in {*asked, *known}))
         if self.relays() and not had_way:
             # Watches that are held on the lost way would stay there until the kernel
-            # gives it up: in virtual time, changes were known 4.05 s behind its silent
-            # loss, and are known 1.05 to 1.95 s behind it with this.
+            # gives it up.
             self._store.renew()
 
     async def _ask(self, node: str) -> None:
--- a/pistachioglade/serving/_version_announcer.py
+++ b/pistachioglade/serving/_version_announcer.py
@@ -30,8 +30,7 @@
 _GATHER_S: Final = 0.2
 #: The same by one that doesn't, so that it knows them when it becomes the home.
 _GATHER_ELSEWHERE_S: Final = 8.0
-#: Time for an engine's process to answer; a version that it doesn't hear of here it
-#: reads in the store 2 s later.
+#: Time for an engine's process to answer; it reads the versions in the store as well.
 _TELL_TIMEOUT_S: Final = 1.0
 #: Time for the process beside an engine to show that it lives.
 _PROBE_TIMEOUT_S: Final = 0.5
--- a/pistachioglade/store/_around.py
+++ b/pistachioglade/store/_around.py
@@ -14,7 +14,7 @@
 #: Makes a call by way of another node.
 Relay = Callable[[StoreCall, float], Awaitable[Response | Refusal]]
 
-#: Body from which a call is large: it takes 0.1 s of a small link, passed four times.
+#: Body from which a call is large: it fills a small link for a while.
 _LARGE_BYTES: Final = 65_536
 
 
--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -38,7 +38,7 @@
 )
 from ._around import Relay, WaysAround
 
-#: Time for one call: an answer takes 4 ms, and about 0.3 s on the slowest days.
+#: Time for one call, also to a slow store.
 CALL_TIMEOUT_S: Final = 1.0
 #: The same for calls that may be repeated while the store doesn't answer: one that was
 #: sent in a silence is never answered, and the time until the next one is lost to the
--- a/pistachioglade/store/_watch.py
+++ b/pistachioglade/store/_watch.py
@@ -15,7 +15,7 @@
 from ._client import StoreClient
 
 #: Time that one watch waits. Each is paid for; a connection that has fallen silent is
-#: found by its keep-alive probes within about 3 s, not by the end of the wait.
+#: found by its keep-alive probes, not by the end of the wait.
 WATCH_HOLD_S: Final = 10.0
 #: Least pause after a watch or list that failed.
 _PAUSE_S: Final = 0.2
