Soak: holders of an engine's orders take turns

The check wanted one holder for each engine, which held while only the program beside an engine ordered it. Since an entry may order an engine whose program it doesn't reach, what is promised is turns: a change of holder has a higher fencing token and comes three seconds behind the last order, a token never falls. An order may arrive late only from a program that was frozen, or over a link that was bent, up to 0.5 s before. In the soak entries never reach the programs beside engines, so that both want to order all the time.

--- a/pistachioglade/standins/_fleet_instance.py
+++ b/pistachioglade/standins/_fleet_instance.py
@@ -76,6 +76,8 @@
         self.resumed: dict[str, int] = {}
         # Orders in the order of their arrival.
         self.orders: list[dict[str, Any]] = []
+        # When each came, in seconds of the monotonic clock.
+        self.orders_s: list[float] = []
         # Requests for another instance that came here.
         self.misdirected = 0
         # Models whose requests are refused, as while their weights load.
@@ -104,6 +106,7 @@
             connection.close()
         self.versions = dict.fromkeys(self.versions, 1)
         self.orders.clear()
+        self.orders_s.clear()
         self.is_leaving = False
         self.born_ms = (self.born_ms or 0) + 1
 
@@ -144,6 +147,7 @@
         if order.get("expect", len(self.orders)) != len(self.orders):
             return 409
         self.orders.append(order)
+        self.orders_s.append(asyncio.get_running_loop().time())
         self.versions[order["model"]] = order["version"]
         return 202
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -164,10 +164,13 @@
         return
     program.is_frozen = True
     process.send_signal(signal.SIGSTOP)
+    begun_s = asyncio.get_running_loop().time()
     await asyncio.sleep(fault.for_s)
     if process.returncode is None:
         process.send_signal(signal.SIGCONT)
     program.is_frozen = False
+    ended_s = asyncio.get_running_loop().time()
+    world.held_up.append((fault.name, begun_s, ended_s))
 
 
 @play.register
@@ -192,8 +195,11 @@
 
 @play.register
 async def _(fault: InstancePath, world: World) -> None:
-    relays = list(world.instance_relays.values())
-    await _bend(relays[fault.number % len(relays)], fault.mode, fault.for_s)
+    instances = list(world.instance_relays)
+    bent = instances[fault.number % len(instances)]
+    begun_s = asyncio.get_running_loop().time()
+    await _bend(world.instance_relays[bent], fault.mode, fault.for_s)
+    world.held_up.append((bent, begun_s, asyncio.get_running_loop().time()))
 
 
 @play.register
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import pairwise
 from pathlib import Path
 from typing import Final
 
@@ -15,6 +16,11 @@
 from ._trainers import Trainer
 from ._world import World, soak_configuration
 
+#: Least time between the orders of two holders to one engine.
+_LEASE_S: Final = 3.0
+#: Time behind a freeze of a program or a fault of an engine's link in which an order
+#: may arrive that was sent before it.
+_HELD_UP_S: Final = 0.5
 #: Time between two faults, in seconds; they last up to four, so that they overlap.
 _GAP_S: Final = (0.2, 1.5)
 #: Time between two versions of the configuration.
@@ -137,10 +143,29 @@
         self._check_orders()
 
     def _check_orders(self) -> None:
+        """Check that holders of an engine's orders take turns, each with its fence."""
         for instance in self._world.fleet.instances:
-            holders = {order["holder"] for order in instance.orders}
-            if len(holders) > 1:
-                self._world.violated(f"{instance.id} had orders of {sorted(holders)}")
+            orders = zip(instance.orders, instance.orders_s, strict=True)
+            for (earlier, earlier_s), (later, later_s) in pairwise(orders):
+                if self._is_held_up(instance.id, later["holder"], later_s):
+                    continue
+                if later["fencing-token"] < earlier["fencing-token"]:
+                    self._world.violated(f"{instance.id}: {later} behind {earlier}")
+                if later["holder"] == earlier["holder"]:
+                    continue
+                is_fenced = later["fencing-token"] > earlier["fencing-token"]
+                if not is_fenced or later_s - earlier_s < _LEASE_S:
+                    passed_s = round(later_s - earlier_s, 3)
+                    self._world.violated(
+                        f"{instance.id}: {later} {passed_s} s behind {earlier}"
+                    )
+
+    def _is_held_up(self, instance_id: str, holder: str, at_s: float) -> bool:
+        """Whether an order may have been sent long before it came."""
+        return any(
+            name in (instance_id, holder) and begun_s <= at_s <= ended_s + _HELD_UP_S
+            for name, begun_s, ended_s in self._world.held_up
+        )
 
     def outcome(self, seed: int) -> Outcome:
         """Return what came of it."""
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -84,6 +84,8 @@
         self.sent_version = 1
         # When the last fault had healed, in seconds of the monotonic clock.
         self.healed_s = float("inf")
+        # Programs that were frozen and instances whose links were bent, from and to.
+        self.held_up: list[tuple[str, float, float]] = []
         # Broken promises, in words.
         self.violations: list[str] = []
         # What happened, by kind.
