Places are worked out once a look, and small entries share jobs sooner

Cause: each waiting sample was weighed against each engine at each look for places, and each change of an instance, a try's end and a tenth of a second was such a look. Where steps wait for a version that no engine has yet, a look took 17 ms of a core with 512 samples beside six engines, 66 ms with 768 beside forty: on machines of 0.12 cores more than the whole processor.

Change: a PlaceTable finds the instances that fit an upstream, a model and a least version once a look, and forgets those that fill up; runs without a place aren't looked at; slow instances are told from the same table. A burst of changes is one look. Jobs are looked at again when the configuration changes, not with each instance. What an idle entry takes of its processor is left out of what samples may use, and a slot is counted with what it takes on small machines.

Ruled out: longer pauses between looks (a free slot waits for them).

Full-size deployments keep one home.

--- a/pistachioglade/decisions/_job_home.py
+++ b/pistachioglade/decisions/_job_home.py
@@ -17,9 +17,11 @@
 from ._hashing import rendezvous_order
 
 #: Processor time that the samples in one engine slot take, in cores.
-_CORES_PER_SLOT: Final = 0.0018
-#: Part of an entry's capacity that running samples may take; the rest is for callers,
-#: readers, saved texts and jobs that are taken over.
+_CORES_PER_SLOT: Final = 0.003
+#: Processor time of an entry that runs no samples, in cores.
+_IDLE_CORES: Final = 0.025
+#: Part of an entry's capacity beyond that which running samples may take; the rest is
+#: for readers, saved texts and jobs that are taken over.
 _SAMPLES_PART: Final = 0.5
 #: Entries with less than this part of the largest entry's capacity are no homes while
 #: larger ones are there.
@@ -46,12 +48,13 @@
 ) -> tuple[str, ...]:
     """Return the entries that run the jobs of an upstream, as many as it takes.
 
-    ``slots`` are those of all its engines. A home that is lost is replaced alone: the
-    others keep their places.
+    ``slots`` are those of all its engines. A home that is lost is replaced alone: all
+    others stay homes.
     """
     able = _able(capacities)
-    usable = max(capacities.values(), default=0.0) * _SAMPLES_PART
-    needed = ceil(slots * _CORES_PER_SLOT / usable) if usable > 0.0 else 1
+    most = max(capacities.values(), default=0.0)
+    usable = max(0.0, most - _IDLE_CORES) * _SAMPLES_PART
+    needed = ceil(slots * _CORES_PER_SLOT / usable) if usable > 0.0 else len(able)
     homes: list[str] = []
     for place in range(min(max(1, needed), len(able))):
         key = upstream if place == 0 else f"{upstream}/{place}"
--- a/pistachioglade/forwarding/_fleet_view.py
+++ b/pistachioglade/forwarding/_fleet_view.py
@@ -85,6 +85,8 @@
         self.pools: dict[str, Pool] = {}
         # Called after each change.
         self.on_change: list[Callable[[], None]] = []
+        # Called after each change of the configuration, before those.
+        self.on_configuration: list[Callable[[], None]] = []
 
     def _now_s(self) -> float:
         return asyncio.get_running_loop().time()
@@ -101,6 +103,8 @@
             return
         self.configuration = read
         self._log.info("configuration-in-force", version=read.version)
+        for callback in self.on_configuration:
+            callback()
         self._changed()
 
     def take_instance(self, entry: Entry, is_removed: bool) -> None:
--- a/pistachioglade/jobs/_sample_scheduler.py
+++ b/pistachioglade/jobs/_sample_scheduler.py
@@ -13,6 +13,7 @@
     Mechanism,
     Policy,
     choose_for_sample,
+    is_slow,
     should_move,
     start_order,
 )
@@ -24,6 +25,7 @@
 from ..metrics import Metrics
 from ..platform import signature
 from ._job_run import JobRun, Sample
+from ._places import Need, Places, PlaceTable
 from ._sample_try import SampleTry, TryEnd, TryResult
 
 #: Time between two looks at samples that wait or should move: two events.
@@ -34,6 +36,20 @@
 _LONGEST_REWARD_PAUSE_S: Final = 0.4
 
 
+def _need(run: JobRun, sample: Sample) -> Need:
+    upstream = choose_upstream(run.route, sample.item.id)
+    return Need(upstream, run.job.model, run.job.min_version)
+
+
+def _has_place(run: JobRun, table: PlaceTable) -> bool:
+    """Whether any sample of a run may start now."""
+    needs = (
+        Need(share.upstream, run.job.model, run.job.min_version)
+        for share in run.route.shares
+    )
+    return run.is_routed and any(table.of(need).with_room for need in needs)
+
+
 class SampleScheduler:
     """Places, moves and finishes the samples of all runs."""
 
@@ -63,7 +79,8 @@
         self._log = logger(__name__)
         # Nothing starts before the jobs are known, nor once the process leaves.
         self.is_enabled = False
-        view.on_change.append(self.pump)
+        self._is_pump_due = False
+        view.on_change.append(self.pump_soon)
 
     async def look_around(self) -> None:
         """Start, move and give up samples, for good."""
@@ -77,17 +94,23 @@
             self._move_slow()
             self._give_up_old()
 
+    def pump_soon(self) -> None:
+        """Look for places once all that has just happened is known."""
+        if not self._is_pump_due:
+            self._is_pump_due = True
+            asyncio.get_running_loop().call_soon(self.pump)
+
     def pump(self) -> None:
         """Start every sample that finds an engine."""
+        self._is_pump_due = False
         if not self.is_enabled:
             return
-        now_s = asyncio.get_running_loop().time()
-        if not any(item.room(now_s) > 0 for item in self._view.records.values()):
-            return
+        table = PlaceTable(self._view, asyncio.get_running_loop().time())
         only_begun = self._is_catching_up()
         waiting = [
             sample
             for run in self._runs.values()
+            if _has_place(run, table)
             for sample in run.pending()
             if sample.is_begun or not only_begun
         ]
@@ -95,9 +118,10 @@
         for pending in start_order(waiting, by_length):
             run = self._runs[pending.job_id]
             sample = run.samples[pending.item_id]
-            handle = self._place(run, sample)
+            handle = self._place(run, sample, table.of(_need(run, sample)))
             if handle is not None:
                 self._start(run, sample, handle)
+                table.placed(handle)
 
     def _start(self, run: JobRun, sample: Sample, handle: InstanceHandle) -> None:
         """Start a sample; it counts at its engine before its task has run."""
@@ -117,54 +141,47 @@
 
         task.add_done_callback(ended)
 
-    def _candidates(self, run: JobRun, sample: Sample) -> list[InstanceHandle]:
-        if not run.is_routed:
-            return []
-        upstream = choose_upstream(run.route, sample.item.id)
-        model, least = run.job.model, run.job.min_version
-        now_s = asyncio.get_running_loop().time()
-        return [
-            item
-            for item in self._view.open_handles(upstream)
-            if item.record.versions.get(model, least) >= least
-            and not item.record.is_loading(model, now_s)
-        ]
-
-    def _place(self, run: JobRun, sample: Sample) -> InstanceHandle | None:
-        candidates = {item.id: item for item in self._candidates(run, sample)}
-        records = [(name, item.record) for name, item in candidates.items()]
+    def _place(
+        self, run: JobRun, sample: Sample, places: Places
+    ) -> InstanceHandle | None:
+        if not places.with_room:
+            return None
         has_homes = self._policy.uses(Mechanism.GROUP_HOMES)
         by_pace = self._policy.uses(Mechanism.FAST_FOR_LONG)
         chosen = choose_for_sample(
-            records,
+            places.records(),
             run.homes(sample.item.group) if has_homes else (),
-            sample.last_instance if len(records) > 1 else None,
+            sample.last_instance if len(places.fitting) > 1 else None,
             asyncio.get_running_loop().time(),
             (self._remaining(run, sample) or 0) if by_pace else 0,
             self._others.get(run.upstream, frozenset()),
         )
-        return None if chosen is None else candidates[chosen]
+        return None if chosen is None else places.with_room[chosen]
 
     def _move_slow(self) -> None:
         if not self._policy.uses(Mechanism.MOVING):
             return
         now_s = asyncio.get_running_loop().time()
+        table = PlaceTable(self._view, now_s)
         for run in self._runs.values():
-            for sample in run.samples.values():
-                at = sample.running_at
-                if sample.running is None or at is None:
-                    continue
-                record = self._view.records.get(at)
-                if record is None or not self._view.may_send_to(at):
-                    continue
-                peers = [
-                    self._view.records[item.id]
-                    for item in self._candidates(run, sample)
-                    if item.id != at
-                ]
-                if should_move(record, peers, self._remaining(run, sample), now_s):
+            running = (item for item in run.samples.values() if item.running_at)
+            for sample in running if run.is_routed else ():
+                if self._should_move(run, sample, table, now_s) and sample.running:
                     sample.running.move()
 
+    def _should_move(
+        self, run: JobRun, sample: Sample, table: PlaceTable, now_s: float
+    ) -> bool:
+        at = sample.running_at
+        record = self._view.records.get(at or "")
+        if at is None or record is None or not self._view.may_send_to(at):
+            return False
+        places = table.of(_need(run, sample))
+        if at in places.fitting and not is_slow(record, places.usual_s, now_s):
+            return False
+        peers = [item.record for item in places.fitting.values() if item.id != at]
+        return should_move(record, peers, self._remaining(run, sample), now_s)
+
     def _remaining(self, run: JobRun, sample: Sample) -> int | None:
         expected = sample.item.expected_tokens
         if expected is None:
@@ -210,7 +227,7 @@
             run.job.model,
             run.route.is_single_version,
             self._most_events(run, sample),
-            self.pump,
+            self.pump_soon,
         )
         sample.running = one_try
         begun_s = asyncio.get_running_loop().time()
@@ -220,7 +237,7 @@
         self._log_try(run, sample, handle.id, result, resumed_after, begun_s)
         if run.took_try(sample, result):
             run.spawn(self._finish(run, sample))
-        asyncio.get_running_loop().call_soon(self.pump)
+        self.pump_soon()
 
     def _log_try(
         self,
--- a/pistachioglade/jobs/_sample_try.py
+++ b/pistachioglade/jobs/_sample_try.py
@@ -203,7 +203,7 @@
         self._record.loaded(self._model)
         self._view.note_present(self._handle)
         if not was_known and self._on_first_answer is not None:
-            asyncio.get_running_loop().call_soon(self._on_first_answer)
+            self._on_first_answer()
 
     def _note_load(self, head: ResponseHead) -> None:
         load = instance_load(head)
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -218,8 +218,8 @@
             JOB_KIND: self._jobs,
         }
         self._view.on_outdated.append(self._instances.hurry)
-        self._view.on_change.append(self._take_limits)
-        self._view.on_change.append(self._owner.reconcile_all)
+        self._view.on_configuration.append(self._take_limits)
+        self._view.on_configuration.append(self._owner.reconcile_all)
         metrics.gauge(
             "pistachioglade_busy_connections",
             "Callers' connections with a request in progress.",
