--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -50,7 +50,6 @@
 _DIRECT_REST_S: Final = 1.0
 
 _JSON: Final = (("Content-Type", "application/json"),)
-
 #: Time between two small reads by which a process sees that the store has gone and
 #: come back; such reads cost a tenth of a call. Watches that were sent meanwhile may
 #: never be answered, and are sent anew.
