--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -205,11 +205,7 @@
 
 
 def test_a_group_that_comes_again_goes_on_from_its_text(tmp_path: Path) -> None:
-    """Only samples of that group are resumed.
-
-    Samples don't leave slow instances here: beside load, one of these stand-ins may
-    look slow beside the other, and its samples then go on there, as they may.
-    """
+    """Samples don't leave slow instances here, as one may look beside load."""
 
     async def case(fleet: Fleet) -> None:
         fleet.variables["PISTACHIOGLADE_WITHOUT"] = "moving"
