Log a request digest when a try loses its connection

Cause: call-tried and stream-tried log lines identify a client attempt only by its id. Change: an exchange that ends with its connection has its own error kind, connection-lost; timeouts and unusable answers remain upstream-lost. The log line of such a try has the field request_digest: a digest of method, host, target, account and body.

--- a/pistachioglade/errors/_kinds.py
+++ b/pistachioglade/errors/_kinds.py
@@ -43,6 +43,7 @@
     UNREADABLE = "unreadable"
     UPSTREAM_REJECTED = "upstream-rejected"
     UPSTREAM_LOST = "upstream-lost"
+    CONNECTION_LOST = "connection-lost"
     ANSWER_TRUNCATED = "answer-truncated"
     DEADLINE_EXCEEDED = "deadline-exceeded"
     CANCELLED = "cancelled"
@@ -94,6 +95,7 @@
         ErrorKind.UNREADABLE: Answer(503, _NOT_RUN, 1.0),
         ErrorKind.UPSTREAM_REJECTED: Answer(502, Execution.RAN, None),
         ErrorKind.UPSTREAM_LOST: Answer(502, _UNKNOWN, 1.0),
+        ErrorKind.CONNECTION_LOST: Answer(502, _UNKNOWN, 1.0),
         ErrorKind.ANSWER_TRUNCATED: Answer(502, _UNKNOWN, 1.0),
         ErrorKind.DEADLINE_EXCEEDED: Answer(504, _UNKNOWN, 1.0),
         ErrorKind.CANCELLED: Answer(499, _UNKNOWN, None),
--- a/pistachioglade/forwarding/_forward.py
+++ b/pistachioglade/forwarding/_forward.py
@@ -22,6 +22,7 @@
 from ..metrics import Metrics
 from ..platform import caller_deadline_s
 from ._fleet_view import FleetView, InstanceHandle
+from ._request_digest import request_digest
 from ._upstream_call import call_instance
 
 
@@ -116,6 +117,7 @@
                 outcome=last.kind.value if isinstance(last, Refusal) else last.status,
                 reason=last.reason if isinstance(last, Refusal) else "",
                 took_s=round(loop.time() - now_s, 4),
+                **connection_lost_log_fields(last, call.request),
             )
             may_have_run |= not (isinstance(last, Refusal) and last.did_not_run)
             failed = isinstance(last, Refusal) or last.status >= 500
@@ -135,6 +137,18 @@
         return ForwardedAnswer(final, failures)
 
 
+def connection_lost_log_fields(
+    answer: Response | Refusal | None, request: Request
+) -> dict[str, str]:
+    """Return the log fields that identify a request whose connection was lost.
+
+    The digest correlates log lines of one request sent under different ids. Returns
+    no fields for any other answer.
+    """
+    is_lost = isinstance(answer, Refusal) and answer.kind is ErrorKind.CONNECTION_LOST
+    return {"request_digest": request_digest(request)} if is_lost else {}
+
+
 def choose_instance(
     view: FleetView, upstream: str, tried: list[str], domain: str
 ) -> InstanceHandle | None:
--- /dev/null
+++ b/pistachioglade/forwarding/_request_digest.py
@@ -0,0 +1,32 @@
+"""Request digest, which identifies the same request sent under different ids."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Final
+
+from ..http1 import Request
+
+_DIGEST_BYTES: Final = 16
+
+
+def request_digest(request: Request) -> str:
+    """Return a hex digest of a request's method, host, target, account and body.
+
+    The account is the Authorization field. Fields that can differ each time the
+    request is sent, such as the attempt id and the deadline, are excluded.
+    """
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    parts = (
+        request.method,
+        (request.field("Host") or "").lower(),
+        request.target,
+        request.field("Authorization") or "",
+    )
+    # Length prefixes prevent different parts from concatenating to the same bytes.
+    for part in parts:
+        encoded = part.encode("utf-8", "surrogateescape")
+        digest.update(len(encoded).to_bytes(4, "big"))
+        digest.update(encoded)
+    digest.update(request.body)
+    return digest.hexdigest()
--- a/pistachioglade/forwarding/_stream.py
+++ b/pistachioglade/forwarding/_stream.py
@@ -36,7 +36,12 @@
 from ..platform import last_event_of, request_fields, resume_fields
 from ._events import EventDecoder, StreamEvent
 from ._fleet_view import FleetView, InstanceHandle
-from ._forward import ForwardedCall, choose_instance, final_answer
+from ._forward import (
+    ForwardedCall,
+    choose_instance,
+    connection_lost_log_fields,
+    final_answer,
+)
 from ._upstream_call import judge_head, note_conduct
 
 
@@ -159,6 +164,7 @@
             resumed_after=resumed_after,
             last_event=progress.last_event,
             took_s=round(loop.time() - begun_s, 4),
+            **connection_lost_log_fields(answer, call.request),
         )
         return answer
 
--- a/pistachioglade/http1/_client.py
+++ b/pistachioglade/http1/_client.py
@@ -191,12 +191,13 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail what has not been answered in full."""
         self.is_closed = True
-        self._fail(f"connection lost: {exc}" if exc else "connection closed")
+        reason = f"connection lost: {exc}" if exc else "connection closed"
+        self._fail(reason, ErrorKind.CONNECTION_LOST)
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, kind: ErrorKind = ErrorKind.UPSTREAM_LOST) -> None:
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
-            exchange.on_failure(refuse(ErrorKind.UPSTREAM_LOST, reason))
+            exchange.on_failure(refuse(kind, reason))
 
     # The parser's callbacks.
 
