--- a/pistachioglade/standins/_fleet_instance.py
+++ b/pistachioglade/standins/_fleet_instance.py
@@ -10,6 +10,7 @@
 import hashlib
 import json
 from collections import Counter
+from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
@@ -82,6 +83,10 @@
         self.misdirected = 0
         # Models whose requests are refused, as while their weights load.
         self.loading: set[str] = set()
+        # Paths of requests that end the instance while it runs them.
+        self.crash_paths: set[str] = set()
+        # Called when a request has ended the instance.
+        self.on_crash: Callable[[], None] | None = None
         self.running = 0
         self.port = 0
         self.is_leaving = False
@@ -100,6 +105,13 @@
         for connection in tuple(self._server.connections):
             connection.close()
 
+    def _crash(self) -> None:
+        """End once, whichever of its requests comes first."""
+        on_crash, self.on_crash = self.on_crash, None
+        self.stop()
+        if on_crash is not None:
+            on_crash()
+
     def start_again(self) -> None:
         """Start again under the same id and address, knowing nothing of before."""
         for connection in tuple(self._server.connections):
@@ -178,6 +190,10 @@
         return request.field(names.MODEL) or next(iter(self.versions), "")
 
     async def _answer(self, request: Request, reply: Reply, request_id: str) -> None:
+        if request.path in self.crash_paths:
+            await asyncio.sleep(self.event_s)
+            self._crash()
+            return
         if self.faults.take("silent"):
             await asyncio.sleep(3600)
         if self.faults.take("failed"):
--- /dev/null
+++ b/tests/crashing.py
@@ -0,0 +1,100 @@
+"""An upstream whose instances a certain request ends, and callers that repeat it."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import count
+
+from pistachioglade.http1 import Response
+from pistachioglade.platform import names
+from pistachioglade.standins._fleet_instance import FleetInstance
+
+from .serving import LOOKUP, EntryProcess, Fleet, instances_of
+
+#: Request that ends the instances that run it.
+FATAL_PATH = f"{LOOKUP}fatal"
+_FATAL_ID = "fatal-"
+#: Time until another instance starts in place of one that has ended.
+_BACK_S = 0.4
+
+
+def now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+class CrashingUpstream:
+    """Keeps the number of instances up while a request ends one after the other."""
+
+    def __init__(self, fleet: Fleet, upstream: str = "app") -> None:
+        self._fleet = fleet
+        self._upstream = upstream
+        self._starts = count(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+        # When instances ended, in seconds of the monotonic clock.
+        self.crashes_s: list[float] = []
+        for instance in instances_of(fleet, upstream):
+            self._prepare(instance)
+
+    def _prepare(self, instance: FleetInstance) -> None:
+        instance.crash_paths = {FATAL_PATH}
+        instance.on_crash = lambda: self._crashed(instance)
+
+    def _crashed(self, instance: FleetInstance) -> None:
+        self.crashes_s.append(now_s())
+        task = asyncio.create_task(self._replace(instance))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _replace(self, instance: FleetInstance) -> None:
+        await asyncio.sleep(_BACK_S)
+        client = self._fleet.store.client()
+        await client.delete(names.INSTANCE_KIND, instance.id)
+        await self.add()
+
+    async def add(self) -> None:
+        """Start one more instance."""
+        name = f"{self._upstream}-again-{next(self._starts)}"
+        instance = FleetInstance(name, self._upstream)
+        self._prepare(instance)
+        await self._fleet.add_instance(instance)
+
+    def attempts_since(self, at_s: float) -> int:
+        """Return the client attempts of the request that ran since then."""
+        begun = {
+            request_id
+            for instance in instances_of(self._fleet, self._upstream)
+            for request_id, begun_s in instance.begun_s.items()
+            if request_id.startswith(_FATAL_ID) and begun_s >= at_s
+        }
+        return len(begun)
+
+
+class RepeatingCaller:
+    """Sends the same request under new ids to one entry after the other."""
+
+    def __init__(self, fleet: Fleet, path: str = FATAL_PATH) -> None:
+        self._fleet = fleet
+        self._path = path
+        self._numbers = count(1)
+        # Answers, with the time that each took in seconds.
+        self.answers: list[tuple[Response, float]] = []
+
+    async def call(self, entry: EntryProcess) -> Response:
+        """Send the request once."""
+        begun_s = now_s()
+        request_id = f"{_FATAL_ID}{next(self._numbers)}"
+        answer = await self._fleet.call(
+            entry, "POST", self._path, request_id, b"the same body"
+        )
+        self.answers.append((answer, now_s() - begun_s))
+        return answer
+
+    async def call_until(self, until_s: float, pause_s: float = 0.1) -> None:
+        """Send it again and again, to each entry that takes connections."""
+        while True:
+            for entry in self._fleet.entries:
+                if entry.process is not None and entry.process.returncode is None:
+                    await self.call(entry)
+            await asyncio.sleep(pause_s)
+            if now_s() >= until_s:
+                return
