--- /dev/null
+++ b/pistachioglade/decisions/_crash_quarantine.py
@@ -0,0 +1,126 @@
+"""Quarantine policy for requests whose instances crash.
+
+Limits the damage from a request that crashes every instance that runs it and that its
+caller retries at any entry. Each run fails the other requests of that instance, and the
+loss of the last instance fails all requests of the upstream. A request that was in
+flight when instances ended for other reasons must be served again soon.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Final
+
+import attrs
+
+#: Crashes from which a request runs only if its upstream has another instance.
+SUSPECT_CRASHES: Final = 2
+#: Crashes from which a request is quarantined.
+QUARANTINE_CRASHES: Final = 3
+#: Pause before each trial run of a quarantined request. The number of trials bounds
+#: the number of further crashes.
+_TRIAL_PAUSES_S: Final = (30.0, 120.0, 600.0)
+#: How long a request waits for a second instance of its upstream. After that it runs
+#: on the only instance, so that an upstream with one instance still serves it.
+_SPARE_WAIT_S: Final = 10.0
+#: Retry-After of a request that waits for a second instance.
+_REPLACEMENT_WAIT_S: Final = 2.0
+#: Retry-After while another run of the request is in progress, and the minimum of any.
+_RUN_WAIT_S: Final = 0.2
+#: First pause of a sample that has crashed engines.
+_SAMPLE_PAUSE_S: Final = 1.0
+#: Most doublings of that pause. Keeps the longest pause below five seconds, the limit
+#: for which a sample of an open job may be at no engine.
+_MOST_SAMPLE_DOUBLINGS: Final = 2
+#: Retention of the history of a request that isn't quarantined.
+_SUSPECT_RETENTION_S: Final = 600.0
+#: Retention of the history of a quarantined request.
+_QUARANTINE_RETENTION_S: Final = 3600.0
+
+
+class Admission(Enum):
+    """Whether a request may be sent."""
+
+    # Send the request.
+    SEND = "send"
+    # Send the request if a trial run can be claimed.
+    TRIAL = "trial"
+    # Refuse the request.
+    REFUSE = "refuse"
+
+
+@attrs.frozen
+class CrashHistory:
+    """Crash history of one request across all its request ids."""
+
+    # Instances that ended while running it, since an instance last answered it.
+    crashes: int
+    # Trial runs claimed since it was quarantined.
+    trials: int
+    # Seconds since this node last saw either count change.
+    unchanged_s: float
+    # Whether this node has a run of it in progress.
+    is_running: bool
+
+
+@attrs.frozen
+class Verdict:
+    """Admission decision for a request."""
+
+    # Whether it may be sent.
+    admission: Admission
+    # Human-readable reason for a refusal.
+    reason: str = ""
+    # Seconds until a refused request may be retried.
+    wait_s: float = 0.0
+
+
+_SEND: Final = Verdict(Admission.SEND)
+
+
+def is_quarantined(crashes: int) -> bool:
+    """Return whether a request with this number of crashes is quarantined."""
+    return crashes >= QUARANTINE_CRASHES
+
+
+def judge_request(history: CrashHistory, open_instances: int) -> Verdict:
+    """Return the admission decision for a request.
+
+    ``open_instances`` is the number of instances of its upstream that can run it.
+    """
+    if history.crashes < SUSPECT_CRASHES:
+        return _SEND
+    due_s = 0.0
+    if is_quarantined(history.crashes):
+        if history.trials >= len(_TRIAL_PAUSES_S):
+            return _refuse(history, _QUARANTINE_RETENTION_S - history.unchanged_s)
+        due_s = _TRIAL_PAUSES_S[history.trials]
+    if history.unchanged_s < due_s:
+        return _refuse(history, due_s - history.unchanged_s)
+    if history.is_running:
+        return _refuse(history, _RUN_WAIT_S)
+    if open_instances < 2 and history.unchanged_s < due_s + _SPARE_WAIT_S:
+        return _refuse(history, _REPLACEMENT_WAIT_S)
+    return Verdict(Admission.TRIAL) if is_quarantined(history.crashes) else _SEND
+
+
+def _refuse(history: CrashHistory, wait_s: float) -> Verdict:
+    reason = f"{history.crashes} instances ended while they ran this request"
+    return Verdict(Admission.REFUSE, reason, round(max(_RUN_WAIT_S, wait_s), 3))
+
+
+def sample_pause_s(crashes: int) -> float:
+    """Return the pause after a sample's latest crash in a row.
+
+    Samples are delayed rather than refused, since they stay with their job until its
+    trainer ends it.
+    """
+    if not is_quarantined(crashes):
+        return 0.0
+    doublings = min(crashes - QUARANTINE_CRASHES, _MOST_SAMPLE_DOUBLINGS)
+    return _SAMPLE_PAUSE_S * float(2**doublings)
+
+
+def history_retention_s(crashes: int) -> float:
+    """Return how long a request's history is retained after its last change."""
+    return _QUARANTINE_RETENTION_S if is_quarantined(crashes) else _SUSPECT_RETENTION_S
--- a/pistachioglade/errors/_kinds.py
+++ b/pistachioglade/errors/_kinds.py
@@ -25,6 +25,7 @@
     NOT_FOUND = "not-found"
     CONFLICT = "conflict"
     TOO_LARGE = "too-large"
+    QUARANTINED = "quarantined"
     OVERLOADED = "overloaded"
     LEAVING = "leaving"
     NO_UPSTREAM = "no-upstream"
@@ -77,6 +78,7 @@
         ErrorKind.NOT_FOUND: Answer(404, _NOT_RUN, None),
         ErrorKind.CONFLICT: Answer(409, _NOT_RUN, None),
         ErrorKind.TOO_LARGE: Answer(413, _NOT_RUN, None),
+        ErrorKind.QUARANTINED: Answer(503, _NOT_RUN, 30.0),
         ErrorKind.OVERLOADED: Answer(503, _NOT_RUN, 1.0),
         ErrorKind.LEAVING: Answer(503, _NOT_RUN, 0.2),
         ErrorKind.NO_UPSTREAM: Answer(503, _NOT_RUN, 2.0),
--- a/pistachioglade/forwarding/__init__.py
+++ b/pistachioglade/forwarding/__init__.py
@@ -3,7 +3,6 @@
 from ._events import EventDecoder, StreamEvent
 from ._fleet_view import FleetView, InstanceHandle
 from ._forward import ForwardedAnswer, ForwardedCall, Forwarder
-from ._request_digest import request_digest
 from ._stream import StreamEnd, StreamForwarder, StreamSink
 from ._upstream_call import call_instance, note_refusal
 
@@ -20,5 +19,4 @@
     "StreamSink",
     "call_instance",
     "note_refusal",
-    "request_digest",
 ]
--- a/pistachioglade/forwarding/_forward.py
+++ b/pistachioglade/forwarding/_forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
 
 import attrs
 
@@ -16,13 +17,13 @@
     try_time_s,
 )
 from ..errors import ErrorKind, Refusal, refuse
-from ..fleet import Route, RouteKind, choose_upstream
+from ..fleet import Instance, Route, RouteKind, choose_upstream
 from ..http1 import Request, Response, end_to_end
 from ..logs import logger
 from ..metrics import Metrics
 from ..platform import caller_deadline_s
+from ..quarantine import CrashLedger, RequestGuard, request_digest
 from ._fleet_view import FleetView, InstanceHandle
-from ._request_digest import request_digest
 from ._upstream_call import call_instance
 
 
@@ -61,7 +62,9 @@
         domain: str,
         metrics: Metrics | None = None,
         budget: RetryBudget | None = None,
+        crashes: CrashLedger | None = None,
     ) -> None:
+        self._crashes = CrashLedger() if crashes is None else crashes
         self._metrics = metrics or Metrics()
         self._view = view
         self._domain = domain
@@ -89,6 +92,7 @@
         policy = CallPolicy(
             route.kind is RouteKind.IDEMPOTENT, route.max_attempts, route.aim_s
         )
+        guard = RequestGuard(self._crashes, call.request, call.request_id)
         tried: list[str] = []
         may_have_run = False
         failures = 0
@@ -100,10 +104,18 @@
             handle = choose_instance(self._view, upstream, tried, self._domain)
             if handle is None or remaining_s <= 0.0:
                 break
+            refusal = await guard.admit(lambda: healthy_instances(self._view, upstream))
+            if refusal is not None:
+                last = refusal
+                break
             tried.append(handle.id)
             time_s = try_time_s(policy, len(tried), remaining_s)
-            last = await call_instance(
-                self._view, handle, kept, call.request_id, time_s
+            with guard.running():
+                last = await call_instance(
+                    self._view, handle, kept, call.request_id, time_s
+                )
+            guard.note_result(
+                handle.instance, last if isinstance(last, Refusal) else None
             )
             self._metrics.tried(
                 last.kind.value if isinstance(last, Refusal) else str(last.status)
@@ -149,6 +161,16 @@
     return {"request_digest": request_digest(request)} if is_lost else {}
 
 
+def healthy_instances(view: FleetView, upstream: str) -> Iterator[Instance]:
+    """Return the open instances of an upstream that aren't resting."""
+    now_s = asyncio.get_running_loop().time()
+    return (
+        handle.instance
+        for handle in view.open_handles(upstream)
+        if not handle.record.is_resting(now_s)
+    )
+
+
 def choose_instance(
     view: FleetView, upstream: str, tried: list[str], domain: str
 ) -> InstanceHandle | None:
@@ -174,5 +196,7 @@
             else ErrorKind.UPSTREAM_LOST
         )
         return refuse(kind, last.reason)
+    if last.kind is ErrorKind.QUARANTINED:
+        return last
     wait_s = refusal_wait_s(call.route.aim_s)
     return refuse(ErrorKind.OVERLOADED, last.reason, wait_s)
--- a/pistachioglade/forwarding/_stream.py
+++ b/pistachioglade/forwarding/_stream.py
@@ -34,6 +34,7 @@
 from ..logs import logger
 from ..metrics import Metrics
 from ..platform import last_event_of, request_fields, resume_fields
+from ..quarantine import CrashLedger, RequestGuard
 from ._events import EventDecoder, StreamEvent
 from ._fleet_view import FleetView, InstanceHandle
 from ._forward import (
@@ -41,6 +42,7 @@
     choose_instance,
     connection_lost_log_fields,
     final_answer,
+    healthy_instances,
 )
 from ._upstream_call import judge_head, note_conduct
 
@@ -88,7 +90,9 @@
         domain: str,
         metrics: Metrics | None = None,
         budget: RetryBudget | None = None,
+        crashes: CrashLedger | None = None,
     ) -> None:
+        self._crashes = CrashLedger() if crashes is None else crashes
         self._view = view
         self._domain = domain
         self._metrics = metrics or Metrics()
@@ -104,6 +108,7 @@
         upstream = choose_upstream(route, call.request_id)
         policy = CallPolicy(route.is_resumable, route.max_attempts, route.aim_s)
         progress = _Progress(sink, last_event_of(call.request.fields))
+        guard = RequestGuard(self._crashes, call.request, call.request_id)
         tried: list[str] = []
         may_have_run = False
         last: Response | Refusal = refuse(ErrorKind.NO_UPSTREAM, "no instance")
@@ -112,8 +117,15 @@
             handle = choose_instance(self._view, upstream, tried, self._domain)
             if handle is None or call.deadline_s <= loop.time():
                 break
+            refusal = await guard.admit(lambda: healthy_instances(self._view, upstream))
+            if refusal is not None:
+                last = refusal
+                break
             tried.append(handle.id)
-            answer = await self._try(call, policy, handle, progress, len(tried))
+            with guard.running():
+                answer = await self._try(call, policy, handle, progress, len(tried))
+            fault = answer if isinstance(answer, Refusal) else None
+            guard.note_result(handle.instance, fault)
             if answer is None:
                 sink.finish()
                 return StreamEnd.WHOLE
--- /dev/null
+++ b/pistachioglade/forwarding/tests/test_crashes.py
@@ -0,0 +1,147 @@
+"""Quarantine of lookups and streams at one entry."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+import pytest
+
+from ...decisions import _crash_quarantine
+from ...errors import ErrorKind, Refusal
+from ...fleet import Route, RouteKind, Share
+from ...http1 import Fields, Request, Response
+from ...platform import Entry, names
+from ...standins._fleet_instance import FleetInstance
+from ...store.tests.served import run
+from .. import FleetView, Forwarder, StreamEnd, StreamForwarder
+
+_ROUTE = Route(
+    name="lookup",
+    host="case.example",
+    prefix="/",
+    kind=RouteKind.IDEMPOTENT,
+    shares=(Share("app", 1.0),),
+    timeout_s=2.0,
+    aim_s=0.3,
+    max_attempts=1,
+    priority=1,
+    is_resumable=False,
+    run_aim_s=None,
+    retention_s=None,
+    is_single_version=False,
+)
+
+
+class _Upstream:
+    """Instances that crash on a request to ``/fatal``, and the view that lists them."""
+
+    def __init__(self, models: tuple[str, ...]) -> None:
+        self.view = FleetView(lambda: None)
+        self.instances: list[FleetInstance] = []
+        self._models = models
+
+    async def add(self, is_fatal: bool = True) -> FleetInstance:
+        number = len(self.instances)
+        instance = FleetInstance(f"app-{number}", "app", self._models)
+        instance.crash_paths = {"/fatal"} if is_fatal else set()
+        await instance.start()
+        instance.on_crash = lambda: self._remove(instance)
+        self.instances.append(instance)
+        entry = Entry(instance.id, number + 1, instance.entry(), None)
+        self.view.take_instance(entry, False)
+        return instance
+
+    def _remove(self, instance: FleetInstance) -> None:
+        entry = Entry(instance.id, 0, instance.entry(), None)
+        self.view.take_instance(entry, True)
+
+    def runs(self) -> int:
+        return sum(instance.runs.total() for instance in self.instances)
+
+
+#: Sends the request once and returns its answer, or None for a complete stream.
+_Send = Callable[[], Awaitable[Response | Refusal | None]]
+
+
+class _Sink:
+    def begin(self, status: int, fields: Fields) -> None:
+        pass
+
+    async def write(self, part: bytes) -> None:
+        pass
+
+    def finish(self) -> None:
+        pass
+
+
+def _request() -> Request:
+    fields = (("Host", "case.example"), (names.ATTEMPT_ID, "r"))
+    return Request("POST", "/fatal", fields, b"", asyncio.get_running_loop().time())
+
+
+def _lookup(upstream: _Upstream) -> _Send:
+    forwarder = Forwarder(upstream.view, "a")
+
+    async def send() -> Response | Refusal | None:
+        return await forwarder.forward(forwarder.call_for(_request(), "r", _ROUTE))
+
+    return send
+
+
+def _stream(upstream: _Upstream) -> _Send:
+    forwarder = StreamForwarder(upstream.view, "a")
+    route = attrs.evolve(_ROUTE, kind=RouteKind.STREAMING)
+    calls = Forwarder(upstream.view, "a")
+
+    async def send() -> Response | Refusal | None:
+        answer = await forwarder.forward(
+            calls.call_for(_request(), "r", route), _Sink()
+        )
+        return None if answer is StreamEnd.WHOLE else answer  # type: ignore[return-value]
+
+    return send
+
+
+_SENDERS = {"lookup": (_lookup, ()), "stream": (_stream, ("m",))}
+
+
+@pytest.mark.parametrize("kind", _SENDERS)
+def test_a_request_is_quarantined_after_three_crashes(kind: str) -> None:
+    async def work() -> None:
+        sender, models = _SENDERS[kind]
+        upstream = _Upstream(models)
+        for _ in range(6):
+            await upstream.add()
+        send = sender(upstream)
+        answers = [await send() for _ in range(10)]
+        kinds = [answer.kind for answer in answers if isinstance(answer, Refusal)]
+        assert kinds == [ErrorKind.UPSTREAM_LOST] * 3 + [ErrorKind.QUARANTINED] * 7
+        assert upstream.runs() == 3
+        last = answers[-1]
+        assert isinstance(last, Refusal) and last.did_not_run and last.retry_after_s
+
+    run(work)
+
+
+@pytest.mark.parametrize("kind", _SENDERS)
+def test_a_request_that_stops_crashing_is_served_again(
+    kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(_crash_quarantine, "_TRIAL_PAUSES_S", (0.3, 0.3, 0.3))
+
+    async def work() -> None:
+        sender, models = _SENDERS[kind]
+        upstream = _Upstream(models)
+        for number in range(5):
+            await upstream.add(is_fatal=number < 3)
+        send = sender(upstream)
+        answers = [await send() for _ in range(4)]
+        kinds = [answer.kind for answer in answers if isinstance(answer, Refusal)]
+        assert kinds == [ErrorKind.UPSTREAM_LOST] * 3 + [ErrorKind.QUARANTINED]
+        await asyncio.sleep(0.35)
+        answers = [await send() for _ in range(3)]
+        assert not any(isinstance(answer, Refusal) for answer in answers)
+
+    run(work)
--- a/pistachioglade/jobs/_job_run.py
+++ b/pistachioglade/jobs/_job_run.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from ..decisions import FULL_POLICY, PendingSample, Policy
+from ..decisions import FULL_POLICY, PendingSample, Policy, sample_pause_s
 from ..fleet import Item, Job, Result, Route
 from ..logs import logger
 from ..messages import SampleTexts, TextRecord
@@ -31,6 +31,10 @@
     text: SampleText = attrs.field(factory=SampleText)
     # Answers of 500 that it got.
     failures: int = 0
+    # Consecutive tries whose engine connection was lost before any event.
+    crashes: int = 0
+    # Earliest time of its next placement, in seconds of the monotonic clock.
+    not_before_s: float = 0.0
     # Engine that it was last at.
     last_instance: str | None = None
     # The try in progress; None while it waits.
@@ -151,6 +155,7 @@
 
     def pending(self) -> list[PendingSample]:
         """Return the samples that wait for an engine."""
+        now_s = asyncio.get_running_loop().time()
         open_by_group = Counter(sample.item.group for sample in self.samples.values())
         return [
             PendingSample(
@@ -164,7 +169,7 @@
                 is_begun=sample.text.last_event is not None,
             )
             for sample in self.samples.values()
-            if sample.is_waiting
+            if sample.is_waiting and sample.not_before_s <= now_s
         ]
 
     def homes(self, group: str) -> set[str]:
@@ -194,6 +199,7 @@
         """Take the end of a try; return whether the text is whole."""
         sample.running = None
         sample.running_at = None
+        self._note_crash(sample, result)
         match result.end:
             case TryEnd.COMPLETE:
                 return True
@@ -207,6 +213,24 @@
             sample.is_waiting = True
         return False
 
+    def _note_crash(self, sample: Sample, result: TryResult) -> None:
+        """Count consecutive crashes of a sample and delay its next try."""
+        if not result.is_crash:
+            if result.end not in (TryEnd.NOT_RUN, TryEnd.UNREACHED):
+                sample.crashes = 0
+            return
+        sample.crashes += 1
+        pause_s = sample_pause_s(sample.crashes)
+        if pause_s > 0.0:
+            sample.not_before_s = asyncio.get_running_loop().time() + pause_s
+            self._log.warning(
+                "item-put-off",
+                job=self.job.id,
+                item=sample.item.id,
+                crashes=sample.crashes,
+                pause_s=pause_s,
+            )
+
     def texts(self) -> SampleTexts:
         """Return what has been made of the samples that aren't listed."""
         running = (
--- a/pistachioglade/jobs/_sample_scheduler.py
+++ b/pistachioglade/jobs/_sample_scheduler.py
@@ -17,7 +17,7 @@
     should_move,
     start_order,
 )
-from ..errors import ErrorKind, refuse
+from ..errors import ErrorKind, Refusal, refuse
 from ..fleet import RewardCall, choose_upstream, find_route
 from ..forwarding import FleetView, ForwardedAnswer, Forwarder, InstanceHandle
 from ..http1 import Request, Response
@@ -50,6 +50,13 @@
     return run.is_routed and any(table.of(need).with_room for need in needs)
 
 
+def _quarantine_wait_s(answer: Response | Refusal) -> float:
+    """Return how long a quarantined reward call has to wait; 0 for any other."""
+    if isinstance(answer, Refusal) and answer.kind is ErrorKind.QUARANTINED:
+        return answer.retry_after_s or 0.0
+    return 0.0
+
+
 class SampleScheduler:
     """Places, moves and finishes the samples of all runs."""
 
@@ -292,7 +299,8 @@
             if loop.time() > run.give_up_s:
                 run.give_up(sample, "retention is over, its reward call unanswered")
                 return None
-            await asyncio.sleep(pause_s)
+            wait_s = max(pause_s, _quarantine_wait_s(scored.answer))
+            await asyncio.sleep(min(wait_s, max(pause_s, run.give_up_s - loop.time())))
             pause_s = min(2.0 * pause_s, _LONGEST_REWARD_PAUSE_S)
 
     async def _ask_for_score(
--- a/pistachioglade/jobs/_sample_try.py
+++ b/pistachioglade/jobs/_sample_try.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from ..errors import Refusal
+from ..errors import ErrorKind, Refusal
 from ..fleet import Item
 from ..forwarding import (
     EventDecoder,
@@ -66,6 +66,8 @@
     end: TryEnd
     # Why, for a person to read.
     reason: str = ""
+    # Whether the engine's connection was lost before any event of the try.
+    is_crash: bool = False
 
 
 @attrs.define
@@ -193,11 +195,17 @@
         except TimeoutError:
             return TryResult(TryEnd.BROKEN, f"no head in {_HEAD_S} s")
         if isinstance(head, Refusal):
-            return TryResult(TryEnd.BROKEN, head.reason)
+            return self._broken_result(head)
         self._note_load(head)
         judged = self._judge(head)
         return judged or await self._read_events(exchange)
 
+    def _broken_result(self, refusal: Refusal) -> TryResult:
+        is_lost = refusal.kind is ErrorKind.CONNECTION_LOST
+        return TryResult(
+            TryEnd.BROKEN, refusal.reason, is_lost and self._event_s is None
+        )
+
     def _note_answer(self) -> None:
         was_known = self._record.has_answered
         self._record.loaded(self._model)
@@ -241,7 +249,7 @@
             except TimeoutError:
                 return TryResult(TryEnd.BROKEN, f"no event in {SILENCE_S} s")
             if isinstance(chunk, Refusal):
-                return TryResult(TryEnd.BROKEN, chunk.reason)
+                return self._broken_result(chunk)
             if chunk is None:
                 return self._ended(exchange, decoder)
             events = decoder.feed(chunk)
--- a/pistachioglade/messages/_entries.py
+++ b/pistachioglade/messages/_entries.py
@@ -47,6 +47,16 @@
     version: int
 
 
+@attrs.frozen
+class InstancesCrashed:
+    """Report a request's crashes to an entry directly, without the store."""
+
+    # Digest of the request.
+    request_digest: str
+    # Instances that ended while running it.
+    instances: tuple[str, ...]
+
+
 @attrs.frozen
 class EngineUnattended:
     """Tell an entry of a named version whose engine has no live process beside it."""
--- /dev/null
+++ b/pistachioglade/quarantine/_guard.py
@@ -0,0 +1,74 @@
+"""Admission check and crash accounting for the tries of one request."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
+from functools import cached_property
+
+from ..decisions import Admission, Verdict
+from ..errors import ErrorKind, Refusal, refuse
+from ..fleet import Instance
+from ..http1 import Request
+from ._digest import request_digest
+from ._ledger import CrashLedger
+
+
+class RequestGuard:
+    """Admits the tries of one request and records their results."""
+
+    def __init__(self, ledger: CrashLedger, request: Request, request_id: str) -> None:
+        self._ledger = ledger
+        self._request = request
+        self._request_id = request_id
+
+    @cached_property
+    def digest(self) -> str:
+        """The request's digest, computed on first use."""
+        return request_digest(self._request)
+
+    async def admit(self, healthy: Callable[[], Iterable[Instance]]) -> Refusal | None:
+        """Return a refusal if the request may not be sent now; None if it may.
+
+        ``healthy`` returns the open instances of its upstream that aren't resting.
+        """
+        if not self._ledger.count:
+            return None
+        names = frozenset(map(_incarnation, healthy()))
+        verdict = self._ledger.judge(self.digest, names)
+        match verdict.admission:
+            case Admission.SEND:
+                return None
+            case Admission.TRIAL:
+                if await self._ledger.claim_trial(self.digest):
+                    return None
+                verdict = self._ledger.judge(self.digest, names)
+        return _refusal(verdict)
+
+    @contextmanager
+    def running(self) -> Iterator[None]:
+        """Count a run of the request while the context is active."""
+        if not self._ledger.count:
+            yield
+            return
+        with self._ledger.running(self.digest):
+            yield
+
+    def note_result(self, instance: Instance, refusal: Refusal | None) -> None:
+        """Record the result of a try; ``refusal`` is None if the instance answered."""
+        if refusal is None:
+            if self._ledger.count:
+                self._ledger.note_answer(self.digest)
+        elif refusal.kind is ErrorKind.CONNECTION_LOST:
+            name = _incarnation(instance)
+            self._ledger.note_crash(self.digest, name, self._request_id)
+
+
+def _incarnation(instance: Instance) -> str:
+    """Return a name that differs when an instance restarts under the same id."""
+    return f"{instance.id}@{instance.born_ms}"
+
+
+def _refusal(verdict: Verdict) -> Refusal:
+    reason = verdict.reason or "a trial run of this request is in progress"
+    return refuse(ErrorKind.QUARANTINED, reason, verdict.wait_s or None)
--- /dev/null
+++ b/pistachioglade/quarantine/_ledger.py
@@ -0,0 +1,234 @@
+"""In-memory crash records of requests at one node."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Collection, Iterable, Iterator
+from contextlib import contextmanager
+from typing import Final
+
+import attrs
+
+from ..decisions import (
+    CrashHistory,
+    Verdict,
+    history_retention_s,
+    is_quarantined,
+    judge_request,
+)
+from ..logs import logger
+
+#: Most requests with a record.
+_MOST_REQUESTS: Final = 2000
+_NO_INSTANCES: Final[frozenset[str]] = frozenset()
+
+
+@attrs.frozen
+class StoredCrashes:
+    """Crash record of a request in the store."""
+
+    # Instances that ended while running it.
+    instances: frozenset[str]
+    # Claimed trial runs.
+    trials: int
+    # Revision of the store's object.
+    revision: int
+
+
+@attrs.define(eq=False)
+class CrashRecord:
+    """Crash record of one request at this node."""
+
+    # Time of the last change, in seconds of the monotonic clock.
+    changed_s: float
+    # Last record taken from the store; None if there is none.
+    stored: StoredCrashes | None = None
+    # Instances whose end this node observed.
+    observed: set[str] = attrs.field(factory=set)
+    # Instances that other entries reported directly.
+    reported: set[str] = attrs.field(factory=set)
+    # Instances that no longer count, because a later run was answered.
+    cleared: frozenset[str] = _NO_INSTANCES
+    # Trial runs claimed without the store.
+    local_trials: int = 0
+    # Runs in progress from this node.
+    running: int = 0
+
+    @property
+    def _stored_instances(self) -> frozenset[str]:
+        return _NO_INSTANCES if self.stored is None else self.stored.instances
+
+    @property
+    def instances(self) -> frozenset[str]:
+        """Instances that ended while running it, since an instance last answered it."""
+        return (self._stored_instances | self.observed | self.reported) - self.cleared
+
+    @property
+    def trials(self) -> int:
+        """Trial runs claimed since an instance last answered it."""
+        if self.stored is None:
+            return self.local_trials
+        return 0 if self.stored.instances & self.cleared else self.stored.trials
+
+    @property
+    def instances_to_store(self) -> frozenset[str]:
+        """Instances that the store's record should contain."""
+        return (self._stored_instances | self.observed) - self.cleared
+
+    @property
+    def is_unwritten(self) -> bool:
+        """Whether the store's record has to be written or deleted."""
+        return self.instances_to_store != self._stored_instances
+
+
+class CrashLedger:
+    """Counts crashes by request digest and decides which requests may be sent."""
+
+    def __init__(self) -> None:
+        self._records: dict[str, CrashRecord] = {}
+        self._log = logger(__name__)
+        # Claims the next trial run of a request; returns whether the claim succeeded.
+        self.claim_trial: Callable[[str], Awaitable[bool]] = self._claim_locally
+        # Set when records in the store have to be written or deleted.
+        self.has_unwritten = asyncio.Event()
+
+    @property
+    def count(self) -> int:
+        """Number of requests with a record."""
+        return len(self._records)
+
+    @property
+    def quarantined_count(self) -> int:
+        """Number of quarantined requests."""
+        counts = (len(record.instances) for record in self._records.values())
+        return sum(map(is_quarantined, counts))
+
+    @staticmethod
+    def _now_s() -> float:
+        return asyncio.get_running_loop().time()
+
+    def find(self, digest: str) -> CrashRecord | None:
+        """Return the record of a request; None if there is none."""
+        return self._records.get(digest)
+
+    def unwritten(self) -> list[str]:
+        """Return the digests whose records in the store are out of date."""
+        return [name for name, record in self._records.items() if record.is_unwritten]
+
+    def judge(self, digest: str, open_instances: Collection[str]) -> Verdict:
+        """Return the admission decision for a request.
+
+        ``open_instances`` are the instances of its upstream that can run it.
+        """
+        record = self._records.get(digest) or CrashRecord(self._now_s())
+        # The list can still contain instances that have just ended.
+        remaining = sum(name not in record.instances for name in open_instances)
+        history = CrashHistory(
+            len(record.instances),
+            record.trials,
+            self._now_s() - record.changed_s,
+            record.running > 0,
+        )
+        return judge_request(history, remaining)
+
+    async def _claim_locally(self, digest: str) -> bool:
+        """Claim a trial run when records aren't shared through the store."""
+        record = self._records[digest]
+        record.local_trials += 1
+        record.changed_s = self._now_s()
+        return True
+
+    @contextmanager
+    def running(self, digest: str) -> Iterator[None]:
+        """Count a run of a request that has a record while the context is active."""
+        record = self._records.get(digest) or CrashRecord(self._now_s())
+        record.running += 1
+        try:
+            yield
+        finally:
+            record.running -= 1
+
+    def note_crash(self, digest: str, instance: str, request_id: str) -> None:
+        """Record that an instance ended while running a request."""
+        record = self._find_or_add(digest)
+        if record is None or instance in record.instances:
+            return
+        record.observed.add(instance)
+        record.changed_s = self._now_s()
+        self.has_unwritten.set()
+        self._log.warning(
+            "instance-crashed",
+            request_digest=digest,
+            request=request_id,
+            instance=instance,
+            crashes=len(record.instances),
+            is_quarantined=is_quarantined(len(record.instances)),
+        )
+
+    def note_reported(self, digest: str, instances: Iterable[str]) -> None:
+        """Record crashes that another entry could not yet write to the store."""
+        record = self._find_or_add(digest)
+        if record is None or record.instances.issuperset(instances):
+            return
+        record.reported |= set(instances)
+        record.changed_s = self._now_s()
+
+    def note_answer(self, digest: str) -> None:
+        """Clear a request's crashes because an instance has answered it."""
+        record = self._records.get(digest)
+        if record is None or not record.instances:
+            return
+        self._log.info(
+            "request-released", request_digest=digest, crashes=len(record.instances)
+        )
+        record.cleared |= record.instances
+        record.local_trials = 0
+        self.has_unwritten.set()
+
+    def take(self, digest: str, stored: StoredCrashes | None) -> None:
+        """Take a request's record from the store; None if it was deleted."""
+        if stored is None:
+            self._take_removal(digest)
+            return
+        record = self._find_or_add(digest)
+        if record is None:
+            return
+        if record.stored is not None:
+            if record.stored.revision >= stored.revision:
+                return
+            # Instances are only removed after another node has seen an answer.
+            record.cleared |= record.stored.instances - stored.instances
+        record.stored = stored
+        record.changed_s = self._now_s()
+        if record.is_unwritten:
+            self.has_unwritten.set()
+
+    def _take_removal(self, digest: str) -> None:
+        record = self._records.get(digest)
+        if record is None or record.stored is None:
+            return
+        record.cleared |= record.stored.instances | record.reported
+        record.stored = None
+
+    def drop_expired(self) -> list[str]:
+        """Drop expired records; return the expired digests that are still stored."""
+        now_s = self._now_s()
+        expired = {
+            digest: record
+            for digest, record in self._records.items()
+            if now_s - record.changed_s > history_retention_s(len(record.instances))
+        }
+        for digest, record in expired.items():
+            if record.stored is None:
+                del self._records[digest]
+        return [
+            digest for digest, record in expired.items() if record.stored is not None
+        ]
+
+    def _find_or_add(self, digest: str) -> CrashRecord | None:
+        record = self._records.get(digest)
+        if record is None and len(self._records) < _MOST_REQUESTS:
+            record = self._records[digest] = CrashRecord(self._now_s())
+        if record is None:
+            self._log.warning("crash-not-remembered", request_digest=digest)
+        return record
--- /dev/null
+++ b/pistachioglade/quarantine/_store_records.py
@@ -0,0 +1,192 @@
+"""Synchronizes a node's crash records with the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, Final
+
+from ..errors import ErrorKind, Refusal, refuse
+from ..logs import logger
+from ..platform import Entry
+from ..store import Follow, Mirror, StoreClient
+from ._ledger import CrashLedger, CrashRecord, StoredCrashes
+
+#: Kind of the records in the store. Each record is named by its request's digest.
+CRASH_KIND: Final = "pistachioglade-crashes"
+#: Timeout for creating a record, including retries after lost answers.
+_CREATE_TIMEOUT_S: Final = 0.5
+#: Timeout for claiming a trial run, during which the caller waits.
+_CLAIM_TIMEOUT_S: Final = 0.3
+#: Duration of a write after which crashes are broadcast to other entries.
+_BROADCAST_DELAY_S: Final = 0.05
+#: Consecutive attempts to write one record when other entries write it too.
+_WRITE_ATTEMPTS: Final = 4
+#: Pause before failed writes are retried.
+_RETRY_PAUSE_S: Final = 0.3
+#: Longest additional wait for the store to recover; a successful call ends it.
+_LONGEST_RETRY_WAIT_S: Final = 2.0
+#: Hold time of a watch; long because changes are rare.
+_WATCH_HOLD_S: Final = 25.0
+#: Interval between checks for expired records.
+_EXPIRY_INTERVAL_S: Final = 5.0
+#: Most instances that are written to a record or read from it.
+_MOST_INSTANCES: Final = 64
+
+#: Sends a request's digest and its crashed instances to all other entries.
+Broadcast = Callable[[str, frozenset[str]], Awaitable[None]]
+
+
+def encode_crashes(instances: frozenset[str], trials: int) -> dict[str, Any]:
+    """Return the stored value of a record."""
+    return {"instances": sorted(instances)[:_MOST_INSTANCES], "trials": trials}
+
+
+def decode_crashes(entry: Entry) -> StoredCrashes | Refusal:
+    """Return the record in a store entry, or a refusal if it is malformed."""
+    fields = entry.value if isinstance(entry.value, Mapping) else {}
+    instances, trials = fields.get("instances"), fields.get("trials")
+    has_valid_instances = isinstance(instances, list) and all(
+        isinstance(item, str) for item in instances
+    )
+    has_valid_trials = (
+        isinstance(trials, int) and not isinstance(trials, bool) and trials >= 0
+    )
+    if not has_valid_instances or not has_valid_trials:
+        return refuse(ErrorKind.UNREADABLE, f"crash record {entry.name:.80}")
+    assert isinstance(instances, list) and isinstance(trials, int)
+    return StoredCrashes(frozenset(instances[:_MOST_INSTANCES]), trials, entry.revision)
+
+
+class CrashRecordStore:
+    """Keeps a ledger and the records in the store in sync."""
+
+    def __init__(
+        self,
+        ledger: CrashLedger,
+        store: StoreClient,
+        follow: Follow,
+        broadcast: Broadcast,
+        is_responsible: Callable[[str], bool],
+    ) -> None:
+        self._ledger = ledger
+        self._store = store
+        self._broadcast = broadcast
+        # Whether this node deletes the expired record of a digest.
+        self._is_responsible = is_responsible
+        self._log = logger(__name__)
+        # Instances last broadcast, by request digest.
+        self._last_broadcast: dict[str, frozenset[str]] = {}
+        # Local copy of the records, by digest.
+        self.mirror = Mirror(
+            store, CRASH_KIND, self._changed, _WATCH_HOLD_S, follow=follow
+        )
+        ledger.claim_trial = self.claim_trial
+
+    def _changed(self, entry: Entry, is_removed: bool) -> None:
+        if is_removed:
+            self._ledger.take(entry.name, None)
+            return
+        decoded = decode_crashes(entry)
+        if isinstance(decoded, Refusal):
+            self._log.error("crash-record-refused", reason=decoded.reason)
+            # Treat a malformed record as empty so that it can be overwritten.
+            decoded = StoredCrashes(frozenset(), 0, entry.revision)
+        self._ledger.take(entry.name, decoded)
+
+    async def run(self) -> None:
+        """Write records when the ledger has unwritten ones; runs until cancelled."""
+        while True:
+            await self._ledger.has_unwritten.wait()
+            self._ledger.has_unwritten.clear()
+            unwritten = self._ledger.unwritten()
+            written = await asyncio.gather(*map(self._write, unwritten))
+            if not all(written):
+                self._ledger.has_unwritten.set()
+                await asyncio.sleep(_RETRY_PAUSE_S)
+                await self._store.wait_after_failure(_LONGEST_RETRY_WAIT_S)
+
+    async def _write(self, digest: str) -> bool:
+        """Bring the store's record up to date; return whether that succeeded."""
+        for _ in range(_WRITE_ATTEMPTS):
+            record = self._ledger.find(digest)
+            if record is None or not record.is_unwritten:
+                self._last_broadcast.pop(digest, None)
+                return True
+            writing = asyncio.ensure_future(self._write_once(digest, record))
+            await asyncio.wait((writing,), timeout=_BROADCAST_DELAY_S)
+            if not writing.done():
+                await self._broadcast_once(digest, record.instances)
+            refusal = await writing
+            if refusal is not None:
+                self._log.info(
+                    "crash-record-unwritten",
+                    request_digest=digest,
+                    reason=refusal.reason,
+                )
+                await self._broadcast_once(digest, record.instances)
+                break
+        return False
+
+    async def _write_once(self, digest: str, record: CrashRecord) -> Refusal | None:
+        """Make one write and take its result; return a refusal if there was none."""
+        answer = await self._send_write(digest, record)
+        if isinstance(answer, Refusal) and answer.kind is ErrorKind.CONFLICT:
+            answer = await self._store.read(CRASH_KIND, digest)
+        if isinstance(answer, Entry):
+            self.mirror.put(answer)
+            return None
+        if answer is None or answer.kind is ErrorKind.NOT_FOUND:
+            self._ledger.take(digest, None)
+            return None
+        return answer
+
+    async def _send_write(
+        self, digest: str, record: CrashRecord
+    ) -> Entry | Refusal | None:
+        store, stored = self._store, record.stored
+        value = encode_crashes(record.instances_to_store, record.trials)
+        if stored is None:
+            return await store.create(CRASH_KIND, digest, value, _CREATE_TIMEOUT_S)
+        if record.instances_to_store:
+            return await store.replace(CRASH_KIND, digest, value, stored.revision)
+        return await store.delete(CRASH_KIND, digest, stored.revision)
+
+    async def _broadcast_once(self, digest: str, instances: frozenset[str]) -> None:
+        """Broadcast crashes that are not stored yet, once for each set of instances."""
+        if instances and self._last_broadcast.get(digest) != instances:
+            self._last_broadcast[digest] = instances
+            await self._broadcast(digest, instances)
+
+    async def claim_trial(self, digest: str) -> bool:
+        """Claim the next trial run of a request; at most one node succeeds."""
+        record = self._ledger.find(digest)
+        if record is None or record.stored is None:
+            return False
+        value = encode_crashes(record.instances_to_store, record.trials + 1)
+        try:
+            async with asyncio.timeout(_CLAIM_TIMEOUT_S):
+                stored = await self._store.replace(
+                    CRASH_KIND, digest, value, record.stored.revision
+                )
+        except TimeoutError:
+            # If the write succeeds later, the trial is used up without a run.
+            return False
+        is_claimed = isinstance(stored, Entry)
+        if isinstance(stored, Entry):
+            self.mirror.put(stored)
+        self._log.info(
+            "trial-claimed" if is_claimed else "trial-not-claimed",
+            request_digest=digest,
+            trial=record.trials,
+        )
+        return is_claimed
+
+    async def expire(self) -> None:
+        """Delete expired records periodically; runs until cancelled."""
+        while True:
+            await asyncio.sleep(_EXPIRY_INTERVAL_S)
+            for digest in filter(self._is_responsible, self._ledger.drop_expired()):
+                record = self._ledger.find(digest)
+                if record is not None and record.stored is not None:
+                    await self._store.delete(CRASH_KIND, digest, record.stored.revision)
--- /dev/null
+++ b/pistachioglade/quarantine/tests/test_store_records.py
@@ -0,0 +1,176 @@
+"""Tests of crash records that entries share through the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import attrs
+import pytest
+
+from ...platform import Entry
+from ...store.tests.served import ServedStore, eventually, run, served_store
+from .. import CRASH_KIND, CrashLedger, CrashRecordStore
+from .._store_records import decode_crashes
+
+
+@attrs.define
+class _Node:
+    """One entry's ledger and its synchronization with the store."""
+
+    ledger: CrashLedger
+    records: CrashRecordStore
+    # Crashes that it broadcast to other entries.
+    broadcasts: list[tuple[str, frozenset[str]]]
+
+    def instances(self) -> set[str]:
+        record = self.ledger.find("d")
+        return set() if record is None else set(record.instances)
+
+
+async def _no_changes(kind: str, revision: int) -> None:
+    return None
+
+
+@asynccontextmanager
+async def _nodes(store: ServedStore, count: int) -> AsyncIterator[list[_Node]]:
+    nodes = []
+    tasks = []
+    for _ in range(count):
+        ledger = CrashLedger()
+        broadcasts: list[tuple[str, frozenset[str]]] = []
+
+        async def broadcast(
+            digest: str, names: frozenset[str], broadcasts: list[Any] = broadcasts
+        ) -> None:
+            broadcasts.append((digest, names))
+
+        records = CrashRecordStore(
+            ledger, store.client(), _no_changes, broadcast, lambda _digest: True
+        )
+        nodes.append(_Node(ledger, records, broadcasts))
+        tasks += [
+            asyncio.create_task(records.mirror.run()),
+            asyncio.create_task(records.run()),
+        ]
+    try:
+        for node in nodes:
+            await node.records.mirror.is_synced.wait()
+        yield nodes
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+def test_crashes_at_any_entry_are_known_to_all() -> None:
+    async def work() -> None:
+        async with served_store() as store, _nodes(store, 4) as nodes:
+            for number, node in enumerate(nodes):
+                node.ledger.note_crash("d", f"i-{number}", "r")
+            expected = {f"i-{number}" for number in range(4)}
+            await eventually(lambda: all(n.instances() == expected for n in nodes))
+            assert all(node.ledger.quarantined_count == 1 for node in nodes)
+
+    run(work)
+
+
+def test_an_answer_at_one_entry_releases_a_request_at_all() -> None:
+    async def work() -> None:
+        async with served_store() as store, _nodes(store, 3) as nodes:
+            for number, node in enumerate(nodes):
+                node.ledger.note_crash("d", f"i-{number}", "r")
+            await eventually(lambda: all(len(n.instances()) == 3 for n in nodes))
+            nodes[1].ledger.note_answer("d")
+            await eventually(lambda: not any(n.instances() for n in nodes))
+            nodes[2].ledger.note_crash("d", "i-9", "r")
+            await eventually(lambda: all(n.instances() == {"i-9"} for n in nodes))
+
+    run(work)
+
+
+def test_only_one_entry_claims_a_trial() -> None:
+    async def work() -> None:
+        async with served_store() as store, _nodes(store, 3) as nodes:
+            nodes[0].ledger.note_crash("d", "i-1", "r")
+            await eventually(lambda: all(n.instances() for n in nodes))
+            claims = await asyncio.gather(*(n.records.claim_trial("d") for n in nodes))
+            assert sorted(claims) == [False, False, True]
+
+            def trials(node: _Node) -> int:
+                record = node.ledger.find("d")
+                return 0 if record is None else record.trials
+
+            await eventually(lambda: all(trials(n) == 1 for n in nodes))
+
+    run(work)
+
+
+def test_no_trial_is_claimed_without_the_store() -> None:
+    async def work() -> None:
+        async with served_store() as store, _nodes(store, 1) as nodes:
+            nodes[0].ledger.note_crash("d", "i-1", "r")
+            await eventually(lambda: nodes[0].ledger.unwritten() == [])
+            store.standin.faults.down = True
+            assert not await nodes[0].records.claim_trial("d")
+
+    run(work)
+
+
+def test_crashes_in_an_outage_are_broadcast_once_and_written_afterwards() -> None:
+    async def work() -> None:
+        async with served_store() as store, _nodes(store, 2) as nodes:
+            store.standin.faults.down = True
+            nodes[0].ledger.note_crash("d", "i-1", "r")
+            await eventually(lambda: bool(nodes[0].broadcasts))
+            await asyncio.sleep(1.5)
+            assert nodes[0].broadcasts == [("d", frozenset({"i-1"}))]
+            store.standin.faults.down = False
+            await eventually(lambda: nodes[1].instances() == {"i-1"})
+
+    run(work)
+
+
+def test_writes_recover_from_lost_answers() -> None:
+    async def work() -> None:
+        async with served_store() as store, _nodes(store, 2) as nodes:
+            store.dropped_answers = 2
+            nodes[0].ledger.note_crash("d", "i-1", "r")
+            nodes[1].ledger.note_crash("d", "i-2", "r")
+            await eventually(lambda: all(len(n.instances()) == 2 for n in nodes))
+            await eventually(lambda: not any(n.ledger.unwritten() for n in nodes))
+
+    run(work)
+
+
+_MALFORMED_VALUES: list[Any] = [
+    None,
+    7,
+    "i-1",
+    {},
+    {"instances": "i-1", "trials": 0},
+    {"instances": [3], "trials": 0},
+    {"instances": ["i-1"], "trials": -1},
+    {"instances": ["i-1"], "trials": True},
+    {"instances": ["i-1"]},
+]
+
+
+@pytest.mark.parametrize("value", _MALFORMED_VALUES)
+def test_a_malformed_record_is_overwritten(value: Any) -> None:
+    async def work() -> None:
+        async with served_store() as store:
+            await store.client().create(CRASH_KIND, "d", value, 1.0)
+            async with _nodes(store, 2) as nodes:
+                assert not any(node.instances() for node in nodes)
+                nodes[0].ledger.note_crash("d", "i-2", "r")
+                await eventually(lambda: nodes[1].instances() == {"i-2"})
+
+    run(work)
+
+
+def test_the_instances_read_from_a_record_are_bounded() -> None:
+    names = [f"i-{number}" for number in range(1000)]
+    read = decode_crashes(Entry("d", 1, {"instances": names, "trials": 0}, None))
+    assert len(getattr(read, "instances", ())) == 64
--- /dev/null
+++ b/pistachioglade/serving/_entry_gauges.py
@@ -0,0 +1,46 @@
+"""Gauges of an entry, evaluated when its metrics are requested."""
+
+from __future__ import annotations
+
+from ..forwarding import FleetView
+from ..http1 import HttpServer
+from ..jobs import JobOwner
+from ..metrics import Metrics
+from ..quarantine import CrashLedger
+from ..store import Mirror
+
+
+def register_gauges(
+    metrics: Metrics,
+    callers: HttpServer,
+    owner: JobOwner,
+    view: FleetView,
+    instances: Mirror,
+    crashes: CrashLedger,
+) -> None:
+    """Register an entry's gauges."""
+    metrics.gauge(
+        "pistachioglade_busy_connections",
+        "Callers' connections with a request in progress.",
+        lambda: callers.busy_count,
+    )
+    metrics.gauge(
+        "pistachioglade_jobs_running",
+        "Jobs that this entry runs.",
+        lambda: len(owner.runs),
+    )
+    metrics.gauge(
+        "pistachioglade_unlisted_instance_seconds",
+        "Longest time for which an instance is in use that left the list.",
+        lambda: view.longest_lapse_s,
+    )
+    metrics.gauge(
+        "pistachioglade_instances_age_seconds",
+        "Time since the store last told of the list of instances.",
+        lambda: instances.age_s,
+    )
+    metrics.gauge(
+        "pistachioglade_quarantined_requests",
+        "Requests that are refused since instances ended while they ran them.",
+        lambda: crashes.quarantined_count,
+    )
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -18,6 +18,7 @@
     Policy,
     RetryBudget,
     capacity_of,
+    heir_of,
 )
 from ..errors import Refusal
 from ..forwarding import FleetView, Forwarder, StreamForwarder
@@ -27,9 +28,11 @@
 from ..logs import logger
 from ..metrics import Metrics
 from ..platform import EntryChanges, ProcessSettings, names
+from ..quarantine import CRASH_KIND, CrashLedger, CrashRecordStore
 from ..store import Mirror, StoreClient
 from ..tasks import Supervisor
 from ..weights import UnattendedEngines
+from ._entry_gauges import register_gauges
 from ._ingress import Ingress
 from ._job_calls import JobCalls
 from ._members import ENTRY_KIND, Members
@@ -91,8 +94,13 @@
         self._view = FleetView(lambda: self._store.outage_age_s, policy)
         is_bounded = policy.uses(Mechanism.RETRY_BUDGET)
         budget = RetryBudget(RETRY_PERCENT if is_bounded else _UNBOUNDED_PERCENT)
-        self._forwarder = Forwarder(self._view, settings.domain, metrics, budget)
-        streams = StreamForwarder(self._view, settings.domain, metrics, budget)
+        self._crashes = CrashLedger()
+        self._forwarder = Forwarder(
+            self._view, settings.domain, metrics, budget, self._crashes
+        )
+        streams = StreamForwarder(
+            self._view, settings.domain, metrics, budget, self._crashes
+        )
         self._ledger = JobLedger()
         boot = secrets.token_hex(4)
         self._address = f"{settings.host}:{settings.internal_port}"
@@ -156,8 +164,16 @@
             self._ways,
             self._unattended.take,
             self._relays.answer,
+            self._crashes,
             policy,
         )
+        self._crash_records = CrashRecordStore(
+            self._crashes,
+            self._store,
+            self._relays.changes,
+            self._peers.broadcast_crashes,
+            lambda digest: heir_of(digest, self._members.names) == settings.node,
+        )
         self._neighbour = NeighbourWatch(
             self._members, self._store, links, self._ways, self._peers.inherit, policy
         )
@@ -216,29 +232,18 @@
             names.CONFIGURATION_KIND: self._configurations,
             names.INSTANCE_KIND: self._instances,
             JOB_KIND: self._jobs,
+            CRASH_KIND: self._crash_records.mirror,
         }
         self._view.on_outdated.append(self._instances.hurry)
         self._view.on_configuration.append(self._take_limits)
         self._view.on_configuration.append(self._owner.reconcile_all)
-        metrics.gauge(
-            "pistachioglade_busy_connections",
-            "Callers' connections with a request in progress.",
-            lambda: self._callers.busy_count,
-        )
-        metrics.gauge(
-            "pistachioglade_jobs_running",
-            "Jobs that this entry runs.",
-            lambda: len(self._owner.runs),
-        )
-        metrics.gauge(
-            "pistachioglade_unlisted_instance_seconds",
-            "Longest time for which an instance is in use that left the list.",
-            lambda: self._view.longest_lapse_s,
-        )
-        metrics.gauge(
-            "pistachioglade_instances_age_seconds",
-            "Time since the store last told of the list of instances.",
-            lambda: self._instances.age_s,
+        register_gauges(
+            metrics,
+            self._callers,
+            self._owner,
+            self._view,
+            self._instances,
+            self._crashes,
         )
 
     @property
@@ -249,6 +254,7 @@
             and self._view.configuration is not None
             and self._instances.is_synced.is_set()
             and self._jobs.is_synced.is_set()
+            and self._crash_records.mirror.is_synced.is_set()
         )
 
     async def _answer_readiness(self, request: Request, reply: Reply) -> None:
@@ -285,6 +291,9 @@
         start("instances", self._instances.run)
         start("jobs", self._jobs.run)
         start("entries", self._members.mirror.run)
+        start("crash-records", self._crash_records.mirror.run)
+        start("crash-record-writes", self._crash_records.run)
+        start("crash-record-expiry", self._crash_records.expire)
         start("versions", self._versions.mirror.run)
         start("announcements", self._versions.run)
         start("store-beat", beat)
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -41,6 +41,7 @@
     FetchSent,
     FetchTexts,
     HomeAnswer,
+    InstancesCrashed,
     Probe,
     ProbeAnswer,
     RelayAnswer,
@@ -52,6 +53,7 @@
     StoredRecord,
 )
 from ..platform import Entry
+from ..quarantine import CrashLedger
 from ..store import StoreClient
 from ._members import ENTRY_KIND, Members
 from ._store_ways import StoreWays
@@ -88,8 +90,10 @@
         ways: StoreWays,
         attend: Callable[[EngineUnattended], Acknowledged | Refusal],
         changes: Callable[[FetchChanges], Awaitable[ChangePage | Refusal]],
+        crashes: CrashLedger,
         policy: Policy = FULL_POLICY,
     ) -> None:
+        self._crashes = crashes
         self._policy = policy
         self._ways = ways
         # Takes on an engine that no process beside it orders.
@@ -199,6 +203,24 @@
     async def _engine(self, message: EngineUnattended) -> Acknowledged | Refusal:
         return self._attend(message)
 
+    @_dispatch.register
+    async def _crashed(self, message: InstancesCrashed) -> Acknowledged:
+        self._crashes.note_reported(message.request_digest, message.instances)
+        return Acknowledged()
+
+    async def broadcast_crashes(
+        self, request_digest: str, instances: frozenset[str]
+    ) -> None:
+        """Report a request's crashes to all other entries."""
+        message = InstancesCrashed(request_digest, tuple(sorted(instances)))
+        others = self._members.owner_names - {self._owner.name}
+        await asyncio.gather(
+            *(
+                self._links.call(address_of(name), message, PROBE_TIMEOUT_S)
+                for name in others
+            )
+        )
+
     @_dispatch.register
     async def _follower(self, message: FetchChanges) -> ChangePage | Refusal:
         return await self._changes(message)
--- a/pistachioglade/serving/tests/test_peers.py
+++ b/pistachioglade/serving/tests/test_peers.py
@@ -25,6 +25,7 @@
 )
 from ...metrics import Metrics
 from ...platform import Entry, names
+from ...quarantine import CrashLedger
 from ...store import StoreClient
 from ...store.tests.served import run, served_store
 from .._members import ENTRY_KIND, Members
@@ -65,7 +66,17 @@
     ledger.take(Entry("job", 1, encode_submission(submission), None), False)
     ways = StoreWays(members, client, links)
     peers = Peers(
-        members, view, "b", client, links, ledger, owner, ways, _attend, _changes
+        members,
+        view,
+        "b",
+        client,
+        links,
+        ledger,
+        owner,
+        ways,
+        _attend,
+        _changes,
+        CrashLedger(),
     )
     neighbour = NeighbourWatch(members, client, links, ways, peers.inherit)
     return _Scene(view, ledger, members, peers, neighbour)
--- a/pistachioglade/standins/_fleet_instance.py
+++ b/pistachioglade/standins/_fleet_instance.py
@@ -83,9 +83,9 @@
         self.misdirected = 0
         # Models whose requests are refused, as while their weights load.
         self.loading: set[str] = set()
-        # Paths of requests that end the instance while it runs them.
+        # Paths of requests that crash the instance.
         self.crash_paths: set[str] = set()
-        # Called when a request has ended the instance.
+        # Called once when a request has crashed the instance.
         self.on_crash: Callable[[], None] | None = None
         self.running = 0
         self.port = 0
@@ -106,7 +106,7 @@
             connection.close()
 
     def _crash(self) -> None:
-        """End once, whichever of its requests comes first."""
+        """Stop, and report only the first of several crashing requests."""
         on_crash, self.on_crash = self.on_crash, None
         self.stop()
         if on_crash is not None:
--- a/pistachioglade/store/__init__.py
+++ b/pistachioglade/store/__init__.py
@@ -2,6 +2,14 @@
 
 from ._around import Relay
 from ._client import BEAT_S, CALL_TIMEOUT_S, StoreClient
-from ._watch import WATCH_HOLD_S, Mirror
+from ._watch import WATCH_HOLD_S, Follow, Mirror
 
-__all__ = ["BEAT_S", "CALL_TIMEOUT_S", "WATCH_HOLD_S", "Mirror", "Relay", "StoreClient"]
+__all__ = [
+    "BEAT_S",
+    "CALL_TIMEOUT_S",
+    "WATCH_HOLD_S",
+    "Follow",
+    "Mirror",
+    "Relay",
+    "StoreClient",
+]
--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -1,4 +1,4 @@
-"""An upstream whose instances a certain request ends, and callers that repeat it."""
+"""An upstream that crashes on a certain request, and a caller that repeats it."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 
 from .serving import LOOKUP, EntryProcess, Fleet, instances_of
 
-#: Request that ends the instances that run it.
+#: Path of the request that crashes the instances that run it.
 FATAL_PATH = f"{LOOKUP}fatal"
 _FATAL_ID = "fatal-"
-#: Time until another instance starts in place of one that has ended.
-_BACK_S = 0.4
+#: Delay before a crashed instance is replaced.
+_REPLACEMENT_DELAY_S = 0.4
 
 
 def now_s() -> float:
@@ -23,20 +23,30 @@
 
 
 class CrashingUpstream:
-    """Keeps the number of instances up while a request ends one after the other."""
-
-    def __init__(self, fleet: Fleet, upstream: str = "app") -> None:
+    """Replaces instances that a request crashes."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        upstream: str = "app",
+        path: str = FATAL_PATH,
+        models: tuple[str, ...] = (),
+        replacement_delay_s: float = _REPLACEMENT_DELAY_S,
+    ) -> None:
         self._fleet = fleet
         self._upstream = upstream
+        self._path = path
+        self._models = models
+        self._replacement_delay_s = replacement_delay_s
         self._starts = count(1)
         self._tasks: set[asyncio.Task[None]] = set()
-        # When instances ended, in seconds of the monotonic clock.
+        # Times of crashes, in seconds of the monotonic clock.
         self.crashes_s: list[float] = []
         for instance in instances_of(fleet, upstream):
             self._prepare(instance)
 
     def _prepare(self, instance: FleetInstance) -> None:
-        instance.crash_paths = {FATAL_PATH}
+        instance.crash_paths = {self._path}
         instance.on_crash = lambda: self._crashed(instance)
 
     def _crashed(self, instance: FleetInstance) -> None:
@@ -46,20 +56,20 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _replace(self, instance: FleetInstance) -> None:
-        await asyncio.sleep(_BACK_S)
+        await asyncio.sleep(self._replacement_delay_s)
         client = self._fleet.store.client()
         await client.delete(names.INSTANCE_KIND, instance.id)
         await self.add()
 
     async def add(self) -> None:
-        """Start one more instance."""
+        """Start an additional instance."""
         name = f"{self._upstream}-again-{next(self._starts)}"
-        instance = FleetInstance(name, self._upstream)
+        instance = FleetInstance(name, self._upstream, self._models)
         self._prepare(instance)
         await self._fleet.add_instance(instance)
 
     def attempts_since(self, at_s: float) -> int:
-        """Return the client attempts of the request that ran since then."""
+        """Return the number of client attempts that reached instances since a time."""
         begun = {
             request_id
             for instance in instances_of(self._fleet, self._upstream)
@@ -70,13 +80,13 @@
 
 
 class RepeatingCaller:
-    """Sends the same request under new ids to one entry after the other."""
+    """Sends the same request to each entry in turn under new ids."""
 
     def __init__(self, fleet: Fleet, path: str = FATAL_PATH) -> None:
         self._fleet = fleet
         self._path = path
         self._numbers = count(1)
-        # Answers, with the time that each took in seconds.
+        # Answers, each with its duration in seconds.
         self.answers: list[tuple[Response, float]] = []
 
     async def call(self, entry: EntryProcess) -> Response:
@@ -90,11 +100,11 @@
         return answer
 
     async def call_until(self, until_s: float, pause_s: float = 0.1) -> None:
-        """Send it again and again, to each entry that takes connections."""
+        """Send the request to each running entry repeatedly until a time."""
         while True:
             for entry in self._fleet.entries:
                 if entry.process is not None and entry.process.returncode is None:
                     await self.call(entry)
-            await asyncio.sleep(pause_s)
+                    await asyncio.sleep(pause_s)
             if now_s() >= until_s:
                 return
--- a/tests/test_serving_crashes.py
+++ b/tests/test_serving_crashes.py
@@ -1,4 +1,4 @@
-"""What becomes of a request that ends the instances that run it."""
+"""Quarantine of requests that crash the instances that run them."""
 
 from __future__ import annotations
 
@@ -10,11 +10,11 @@
 from soak._relay import Relay, RelayMode
 
 from .crashing import CrashingUpstream, RepeatingCaller, now_s
-from .serving import Fleet, play
+from .serving import JOBS, LOOKUP, REWARD, Fleet, play, submission
 
-#: Time behind a crash, a start or a cut in which entries may still be learning of it.
-_CONTACT_S = 3.0
-#: Client attempts that may reach instances afterwards.
+#: Time allowed for entries to learn of crashes after a crash, restart or partition.
+_PROPAGATION_S = 3.0
+#: Most client attempts that may reach instances afterwards.
 _MOST_RETRIES = 3
 
 
@@ -47,10 +47,12 @@
 ) -> None:
     async def case(fleet: Fleet) -> None:
         upstream = CrashingUpstream(fleet)
-        await upstream.add()
+        for _ in range(4):
+            await upstream.add()
         await RepeatingCaller(fleet).call_until(now_s() + 7.0)
-        known_s = await _third_crash(upstream) + _CONTACT_S
-        assert upstream.attempts_since(known_s) <= _MOST_RETRIES
+        settled_s = await _third_crash(upstream) + _PROPAGATION_S
+        assert upstream.attempts_since(settled_s) <= _MOST_RETRIES
+        assert len(upstream.crashes_s) < 3 + len(fleet.entries)
 
     play(tmp_path, case, entries=3)
 
@@ -62,16 +64,19 @@
         caller = RepeatingCaller(fleet)
         calling = asyncio.create_task(caller.call_until(float("inf")))
         await _third_crash(upstream)
+        await asyncio.sleep(0.3)
         calling.cancel()
+        crashes = len(upstream.crashes_s)
         for entry in fleet.entries:
             entry.signal(signal.SIGKILL)
             await entry.ended()
             await entry.start()
         for entry in fleet.entries:
             await entry.ready()
-        known_s = now_s() + _CONTACT_S
-        await caller.call_until(known_s + 5.0)
-        assert upstream.attempts_since(known_s) <= _MOST_RETRIES
+        settled_s = now_s() + _PROPAGATION_S
+        await caller.call_until(settled_s + 5.0)
+        assert upstream.attempts_since(settled_s) <= _MOST_RETRIES
+        assert len(upstream.crashes_s) == crashes
 
     play(tmp_path, case, entries=2)
 
@@ -90,10 +95,96 @@
         await _third_crash(upstream)
         await asyncio.sleep(1.0)
         relay.set_mode(RelayMode.OPEN)
-        known_s = now_s() + _CONTACT_S
-        await asyncio.sleep(_CONTACT_S + 5.0)
+        settled_s = now_s() + _PROPAGATION_S
+        await asyncio.sleep(_PROPAGATION_S + 5.0)
         calling.cancel()
         relay.stop()
-        assert upstream.attempts_since(known_s) <= _MOST_RETRIES
+        assert upstream.attempts_since(settled_s) <= _MOST_RETRIES
+        assert len(upstream.crashes_s) <= 3 + len(fleet.entries)
+
+    play(tmp_path, case, entries=2)
+
+
+def test_the_last_instance_is_spared_and_other_callers_are_served(
+    tmp_path: Path,
+) -> None:
+    async def case(fleet: Fleet) -> None:
+        upstream = CrashingUpstream(fleet, replacement_delay_s=1.0)
+        await upstream.add()
+        calling = asyncio.create_task(RepeatingCaller(fleet).call_until(now_s() + 4.0))
+        others = RepeatingCaller(fleet, f"{LOOKUP}other")
+        while not calling.done():
+            await others.call(fleet.entries[0])
+        statuses = [answer.status for answer, _ in others.answers]
+        assert len(upstream.crashes_s) <= 3
+        assert set(statuses) == {200}
+
+    play(tmp_path, case, entries=1)
+
+
+def test_a_quarantined_request_is_refused_at_once_with_retry_after(
+    tmp_path: Path,
+) -> None:
+    async def case(fleet: Fleet) -> None:
+        upstream = CrashingUpstream(fleet)
+        await upstream.add()
+        caller = RepeatingCaller(fleet)
+        while len(upstream.crashes_s) < 3:
+            await caller.call_until(now_s())
+        await asyncio.sleep(0.5)
+        for entry in fleet.entries:
+            answer = await caller.call(entry)
+            assert answer.status == 503
+            assert b"quarantined" in answer.body
+            assert 0.0 < float(answer.field("Retry-After") or "0") <= 30.0
+            assert caller.answers[-1][1] < 0.2
+        assert len(upstream.crashes_s) == 3
 
     play(tmp_path, case, entries=2)
+
+
+def test_crashes_are_known_to_all_entries_while_the_store_is_down(
+    tmp_path: Path,
+) -> None:
+    async def case(fleet: Fleet) -> None:
+        upstream = CrashingUpstream(fleet)
+        for _ in range(6):
+            await upstream.add()
+        await asyncio.sleep(1.5)
+        fleet.store.standin.faults.down = True
+        await RepeatingCaller(fleet).call_until(now_s() + 4.0, pause_s=0.05)
+        assert 3 <= len(upstream.crashes_s) <= 4
+        fleet.store.standin.faults.down = False
+
+    play(tmp_path, case, entries=3)
+
+
+def test_a_reward_call_that_crashes_instances_is_quarantined(
+    tmp_path: Path,
+) -> None:
+    async def case(fleet: Fleet) -> None:
+        upstream = CrashingUpstream(fleet, path=f"{REWARD}score")
+        await upstream.add()
+        job = submission(1, 1)
+        await fleet.call(fleet.entries[0], "POST", f"{JOBS}x", "job-1", job)
+        await _third_crash(upstream)
+        await asyncio.sleep(4.0)
+        assert len(upstream.crashes_s) == 3
+
+    play(tmp_path, case, entries=2)
+
+
+def test_a_sample_that_crashes_engines_is_put_off(tmp_path: Path) -> None:
+    async def case(fleet: Fleet) -> None:
+        path = f"{JOBS}fatal"
+        upstream = CrashingUpstream(fleet, "lm", path, models=("m",))
+        for _ in range(2):
+            await upstream.add()
+        job = submission(2, 2).replace(f"{JOBS}run".encode(), path.encode(), 1)
+        await fleet.call(fleet.entries[0], "POST", f"{JOBS}x", "job-1", job)
+        third_s = await _third_crash(upstream)
+        await asyncio.sleep(third_s + 7.5 - now_s())
+        assert len(upstream.crashes_s) <= 6
+        await fleet.results(fleet.entries[0], "job-1", 3)
+
+    play(tmp_path, case)
--- a/tests/without.py
+++ b/tests/without.py
@@ -39,6 +39,8 @@
     return f"tests/test_scenarios.py::test_scenario[{name}]"
 
 
+_CRASHES = "tests/test_serving_crashes.py"
+
 MECHANISMS = (
     Mechanism(
         "versions: each event's own version",
@@ -168,6 +170,34 @@
         "answer = message",
         (_scenario("configuration_never_back"),),
     ),
+    Mechanism(
+        "crashes: a request that crashes instances is quarantined",
+        "decisions/_crash_quarantine.py",
+        "return crashes >= QUARANTINE_CRASHES",
+        "return False",
+        (f"{_CRASHES}::test_a_request_that_crashes_instances_is_not_sent_on_for_ever",),
+    ),
+    Mechanism(
+        "crashes: entries share records through the store",
+        "quarantine/_store_records.py",
+        "if record is None or not record.is_unwritten:",
+        "if True:",
+        (f"{_CRASHES}::test_entries_that_start_again_know_of_crashes",),
+    ),
+    Mechanism(
+        "crashes: entries broadcast crashes while the store is down",
+        "quarantine/_store_records.py",
+        "if instances and self._last_broadcast.get(digest) != instances:",
+        "if False:",
+        (f"{_CRASHES}::test_crashes_are_known_to_all_entries_while_the_store_is_down",),
+    ),
+    Mechanism(
+        "crashes: a request with two crashes is kept from the last instance",
+        "decisions/_crash_quarantine.py",
+        "if open_instances < 2 and",
+        "if open_instances < 0 and",
+        (f"{_CRASHES}::test_the_last_instance_is_spared_and_other_callers_are_served",),
+    ),
 )
 
 
@@ -175,7 +205,7 @@
     """Return whether the proof fails without the mechanism."""
     with tempfile.TemporaryDirectory(prefix="without-") as folder:
         copy = Path(folder)
-        for name in ("pistachioglade", "tests", "deployments"):
+        for name in ("pistachioglade", "tests", "soak", "deployments"):
             shutil.copytree(_ROOT / name, copy / name)
         shutil.copy(_ROOT / "pyproject.toml", copy)
         path = copy / "pistachioglade" / mechanism.path
