Stop rewriting crash records with more than 64 instances

Cause: a record in the store holds at most 64 instances, but the ledger compared it with all instances that it knew. A record with more than 64 was therefore rewritten again and again, after a pause of 0.3 s each time. This requires a popular request that is in flight at more than 64 instances as they end.

Change: the ledger limits the instances that the record should contain to the same 64.

Measured: test_a_record_with_too_many_instances_is_written_once timed out before the change, because the record never settled, and passes now.

--- a/pistachioglade/quarantine/_ledger.py
+++ b/pistachioglade/quarantine/_ledger.py
@@ -20,6 +20,8 @@
 
 #: Most requests with a record.
 _MOST_REQUESTS: Final = 2000
+#: Most instances that are written to a record in the store or read from it.
+MOST_INSTANCES: Final = 64
 _NO_INSTANCES: Final[frozenset[str]] = frozenset()
 
 
@@ -73,7 +75,9 @@
     @property
     def instances_to_store(self) -> frozenset[str]:
         """Instances that the store's record should contain."""
-        return (self._stored_instances | self.observed) - self.cleared
+        uncleared = (self._stored_instances | self.observed) - self.cleared
+        # Without the bound, a truncated record would always count as unwritten.
+        return frozenset(sorted(uncleared)[:MOST_INSTANCES])
 
     @property
     def is_unwritten(self) -> bool:
--- a/pistachioglade/quarantine/_store_records.py
+++ b/pistachioglade/quarantine/_store_records.py
@@ -10,7 +10,7 @@
 from ..logs import logger
 from ..platform import Entry
 from ..store import Follow, Mirror, StoreClient
-from ._ledger import CrashLedger, CrashRecord, StoredCrashes
+from ._ledger import MOST_INSTANCES, CrashLedger, CrashRecord, StoredCrashes
 
 #: Kind of the records in the store. Each record is named by its request's digest.
 CRASH_KIND: Final = "pistachioglade-crashes"
@@ -30,8 +30,6 @@
 _WATCH_HOLD_S: Final = 25.0
 #: Interval between checks for expired records.
 _EXPIRY_INTERVAL_S: Final = 5.0
-#: Most instances that are written to a record or read from it.
-_MOST_INSTANCES: Final = 64
 
 #: Sends a request's digest and its crashed instances to all other entries.
 Broadcast = Callable[[str, frozenset[str]], Awaitable[None]]
@@ -39,7 +37,7 @@
 
 def encode_crashes(instances: frozenset[str], trials: int) -> dict[str, Any]:
     """Return the stored value of a record."""
-    return {"instances": sorted(instances)[:_MOST_INSTANCES], "trials": trials}
+    return {"instances": sorted(instances), "trials": trials}
 
 
 def decode_crashes(entry: Entry) -> StoredCrashes | Refusal:
@@ -55,7 +53,7 @@
     if not has_valid_instances or not has_valid_trials:
         return refuse(ErrorKind.UNREADABLE, f"crash record {entry.name:.80}")
     assert isinstance(instances, list) and isinstance(trials, int)
-    return StoredCrashes(frozenset(instances[:_MOST_INSTANCES]), trials, entry.revision)
+    return StoredCrashes(frozenset(instances[:MOST_INSTANCES]), trials, entry.revision)
 
 
 class CrashRecordStore:
--- a/pistachioglade/quarantine/tests/test_store_records.py
+++ b/pistachioglade/quarantine/tests/test_store_records.py
@@ -174,3 +174,19 @@
     names = [f"i-{number}" for number in range(1000)]
     read = decode_crashes(Entry("d", 1, {"instances": names, "trials": 0}, None))
     assert len(getattr(read, "instances", ())) == 64
+
+
+def test_a_record_with_too_many_instances_is_written_once() -> None:
+    async def work() -> None:
+        async with served_store() as store, _nodes(store, 2) as nodes:
+            for number in range(100):
+                nodes[number % 2].ledger.note_crash("d", f"i-{number}", "r")
+            await eventually(lambda: not any(n.ledger.unwritten() for n in nodes))
+            await asyncio.sleep(0.2)
+            # A record that never matches the ledger would be rewritten endlessly.
+            calls = len(store.calls)
+            await asyncio.sleep(1.0)
+            assert len(store.calls) == calls
+            assert all(node.ledger.quarantined_count == 1 for node in nodes)
+
+    run(work)
