Clear all observed crashes when a full crash record is removed

Cause: a record in the store holds at most 64 instances. When a record with 64 instances was removed because the request had been answered, other entries cleared only the instances in the record and kept those that they had observed beyond it. They wrote these to the store again, so a popular request was quarantined after it had been answered. Change: the removal of a full record clears all instances that an entry has observed. A crash that it observed after that answer and had not written yet is cleared too, for full records only. Measured: test_an_answer_clears_more_crashes_than_a_record_holds failed before (nine instances were left) and passes now.

--- a/pistachioglade/quarantine/_ledger.py
+++ b/pistachioglade/quarantine/_ledger.py
@@ -212,6 +212,9 @@
         if record is None or record.stored is None:
             return
         record.cleared |= record.stored.instances | record.reported
+        if len(record.stored.instances) >= MOST_INSTANCES:
+            # Observed instances beyond the limit would otherwise be written again.
+            record.cleared |= record.observed
         record.stored = None
 
     def drop_expired(self) -> list[str]:
--- a/pistachioglade/quarantine/tests/test_ledger.py
+++ b/pistachioglade/quarantine/tests/test_ledger.py
@@ -10,7 +10,7 @@
 from ...decisions import Admission
 from ...store.tests.scripted import run_virtual
 from .. import CrashLedger
-from .._ledger import _MOST_REQUESTS, StoredCrashes
+from .._ledger import _MOST_REQUESTS, MOST_INSTANCES, StoredCrashes
 
 _OPEN = ("i-7", "i-8")
 
@@ -90,6 +90,20 @@
     _play(case)
 
 
+def test_an_answer_clears_more_crashes_than_a_record_holds() -> None:
+    # Guards against an answered request being quarantined again.
+    def case(ledger: CrashLedger) -> None:
+        names = [f"i-{number:03}" for number in range(MOST_INSTANCES + 9)]
+        for name in names:
+            ledger.note_crash("d", name, "r")
+        ledger.take("d", _stored(5, *names[:MOST_INSTANCES]))
+        ledger.take("d", None)
+        assert _instances(ledger) == set()
+        assert ledger.unwritten() == []
+
+    _play(case)
+
+
 def test_an_older_revision_is_ignored() -> None:
     def case(ledger: CrashLedger) -> None:
         ledger.take("d", _stored(5, "i-1", "i-2", trials=1))
