Soak: add a caller whose requests crash the instances that run them

Change: one caller repeats such requests, each for 8 s at randomly chosen entries. Instances of the plain service crash on them and are replaced. Later than 3 s after the third crash of a request, at most three of its attempts may reach instances through entries that, like the store, were undisturbed for 3 s. The caller has its own random generator. A Replace fault is skipped if there is no instance to replace.

--- /dev/null
+++ b/soak/_crashes.py
@@ -0,0 +1,132 @@
+"""Soak caller whose requests crash the instances that run them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import defaultdict
+from itertools import count
+from typing import Final
+
+import attrs
+
+from pistachioglade.http1 import Pool, Response
+from pistachioglade.platform import names
+from pistachioglade.standins._fleet_instance import FleetInstance
+from tests.serving import HOST, LOOKUP
+
+from ._world import World
+
+#: Time for which a request is repeated; has to exceed the grace period.
+_REPEAT_S: Final = 8.0
+#: Pause between two attempts of a request.
+_ATTEMPT_PAUSE_S: Final = (0.05, 0.4)
+#: Pause before the first attempt of each request.
+_REQUEST_PAUSE_S: Final = (0.5, 2.0)
+#: Time for which the caller waits for an answer.
+_WAIT_S: Final = 2.0
+#: Grace period after the third crash, and after a disturbance of an entry or the store,
+#: in which attempts aren't counted.
+_GRACE_S: Final = 3.0
+#: Crashes after which a request has to be quarantined.
+_QUARANTINE_CRASHES: Final = 3
+#: Most attempts that may reach instances after the grace period.
+_MOST_LATE_ATTEMPTS: Final = 3
+
+
+@attrs.frozen
+class Attempt:
+    """One client attempt of a request."""
+
+    # Attempt id, unique in the run.
+    id: str
+    # Path, unique to the request.
+    path: str
+    # Name of the entry that it was sent to.
+    entry: str
+    # Send time, in seconds of the monotonic clock.
+    sent_s: float
+
+
+class CrashingCaller:
+    """Repeats requests that crash instances, each under new ids at random entries."""
+
+    def __init__(self, world: World, seed: int) -> None:
+        self._world = world
+        self._random = random.Random(f"crashes-{seed}")
+        self._attempts: list[Attempt] = []
+
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        for number in count(1):
+            await asyncio.sleep(self._random.uniform(*_REQUEST_PAUSE_S))
+            path = f"{LOOKUP}crash-{number}"
+            self._world.crash_paths.add(path)
+            until_s = asyncio.get_running_loop().time() + _REPEAT_S
+            while asyncio.get_running_loop().time() < until_s:
+                await self._call(path)
+                await asyncio.sleep(self._random.uniform(*_ATTEMPT_PAUSE_S))
+
+    async def _call(self, path: str) -> None:
+        world = self._world
+        program = world.entries[self._random.choice(list(world.entries))]
+        now_s = asyncio.get_running_loop().time()
+        request_id = f"crash-{len(self._attempts)}"
+        process = program.process
+        self._attempts.append(Attempt(request_id, path, process.name, now_s))
+        sent = (
+            ("Host", HOST),
+            (names.ATTEMPT_ID, request_id),
+            (names.DEADLINE_MS, str(int(_WAIT_S * 1000))),
+        )
+        pool = Pool("127.0.0.1", process.port)
+        try:
+            answer = await pool.request("POST", path, sent, b"crash", _WAIT_S)
+        except TimeoutError:
+            return
+        finally:
+            pool.close()
+        if isinstance(answer, Response):
+            world.counts[f"crash {answer.status}"] += 1
+            if answer.status == 200:
+                world.violated(
+                    f"{path} {request_id}: answered, but every instance crashes on it"
+                )
+
+    def check_late_attempts(self) -> None:
+        """Check that few attempts of each request ran after its third crash."""
+        crash_times_s: dict[str, list[float]] = defaultdict(list)
+        for instance, at_s in self._world.crashes:
+            crash_times_s[self._crashed_by(instance).path].append(at_s)
+        for path, times_s in crash_times_s.items():
+            if len(times_s) >= _QUARANTINE_CRASHES:
+                self._check_request(
+                    path, sorted(times_s)[_QUARANTINE_CRASHES - 1] + _GRACE_S
+                )
+
+    def _crashed_by(self, instance: FleetInstance) -> Attempt:
+        """Return the attempt that crashed an instance: the first that it ran."""
+        begun_s = instance.begun_s
+        ran = (attempt for attempt in self._attempts if attempt.id in begun_s)
+        return min(ran, key=lambda attempt: begun_s[attempt.id])
+
+    def _check_request(self, path: str, grace_end_s: float) -> None:
+        late = [
+            attempt
+            for attempt in self._attempts
+            if attempt.path == path and self._counts_as_late(attempt, grace_end_s)
+        ]
+        if len(late) > _MOST_LATE_ATTEMPTS:
+            self._world.violated(
+                f"{path}: {len(late)} attempts ran after {grace_end_s:.2f} s: {late}"
+            )
+
+    def _counts_as_late(self, attempt: Attempt, grace_end_s: float) -> bool:
+        """Whether it ran after the grace period, through an undisturbed entry."""
+        begun_s = (
+            instance.begun_s.get(attempt.id, 0.0)
+            for instance in self._world.fleet.instances
+        )
+        return max(begun_s) > grace_end_s and self._world.is_undisturbed(
+            attempt.entry, attempt.sent_s, _GRACE_S
+        )
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -11,7 +11,7 @@
 import attrs
 
 from ._relay import Relay, RelayMode
-from ._world import Program, World
+from ._world import STORE, Program, World
 
 #: Time that a fault lasts, in seconds; promises with a bound allow for 3 s.
 _LASTS_S: Final = (0.3, 4.0)
@@ -171,6 +171,7 @@
     program.is_frozen = False
     ended_s = asyncio.get_running_loop().time()
     world.held_up.append((fault.name, begun_s, ended_s))
+    world.disturbances.append((fault.name, begun_s, ended_s))
 
 
 @play.register
@@ -190,7 +191,10 @@
 
 @play.register
 async def _(fault: StorePath, world: World) -> None:
+    begun_s = asyncio.get_running_loop().time()
     await _bend(_program(world, fault.name).store, fault.mode, fault.for_s)
+    ended_s = asyncio.get_running_loop().time()
+    world.disturbances.append((fault.name, begun_s, ended_s))
 
 
 @play.register
@@ -204,6 +208,13 @@
 
 @play.register
 async def _(fault: StoreFault, world: World) -> None:
+    begun_s = asyncio.get_running_loop().time()
+    await _play_store_fault(fault, world)
+    ended_s = asyncio.get_running_loop().time()
+    world.disturbances.append((STORE, begun_s, ended_s))
+
+
+async def _play_store_fault(fault: StoreFault, world: World) -> None:
     faults = world.store.standin.faults
     match fault.how:
         case "down":
@@ -229,7 +240,10 @@
 
 @play.register
 async def _(fault: Replace, world: World) -> None:
-    leaving = world.random.choice(world.live(fault.upstream))
+    live = world.live(fault.upstream)
+    if not live:
+        return
+    leaving = world.random.choice(live)
     port = world.instance_relays[leaving.id].port
     has_program = any(
         program.process.settings.read_text().endswith(f"app=127.0.0.1:{port}\n")
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -12,6 +12,7 @@
 from pistachioglade.store.tests.served import served_store
 
 from ._callers import Caller, ConfigurationProbe
+from ._crashes import CrashingCaller
 from ._faults import draw, play
 from ._trainers import Trainer
 from ._world import World, soak_configuration
@@ -65,8 +66,9 @@
 class SoakRun:
     """A world, its users and its faults."""
 
-    def __init__(self, world: World, sizes: Sizes) -> None:
+    def __init__(self, world: World, sizes: Sizes, seed: int) -> None:
         self._world = world
+        self._crashing_caller = CrashingCaller(world, seed)
         self._sizes = sizes
         self._callers = [Caller(world, f"c{place}") for place in range(sizes.callers)]
         self._trainers = [
@@ -81,7 +83,12 @@
         await world.build(sizes.entries, sizes.engines, sizes.plain)
         users = [
             world.spawn(user.run())
-            for user in (*self._callers, *self._trainers, self._probe)
+            for user in (
+                *self._callers,
+                *self._trainers,
+                self._probe,
+                self._crashing_caller,
+            )
         ]
         operator = world.spawn(self._configure())
         await self._disturb(duration_s)
@@ -140,6 +147,7 @@
             await trainer.check_all()
         for caller in self._callers:
             caller.check_fates()
+        self._crashing_caller.check_late_attempts()
         self._check_orders()
 
     def _check_orders(self) -> None:
@@ -177,7 +185,7 @@
     """Run one seed; every process that it starts has ended when it returns."""
     async with served_store() as store:
         world = World(store, folder, seed)
-        run = SoakRun(world, sizes)
+        run = SoakRun(world, sizes, seed)
         try:
             await run.run(duration_s)
         except TimeoutError:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -19,11 +19,15 @@
 
 #: Model that the trainers name versions of.
 MODEL: Final = "m"
+#: Name of the store in ``World.disturbances``.
+STORE: Final = "store"
 #: Events of a sample, and the time of one: a sample runs for 0.7 s.
 EVENTS: Final = 35
 EVENT_S: Final = 0.02
 #: Pause before a process that has ended starts again.
 _RESTART_S: Final = 0.4
+#: Pause before a crashed instance is replaced.
+_REPLACE_S: Final = 0.8
 #: Time between two looks at processes and instances.
 _LOOK_S: Final = 0.1
 
@@ -84,6 +88,12 @@
         self.sent_version = 1
         # When the last fault had healed, in seconds of the monotonic clock.
         self.healed_s = float("inf")
+        # Paths of requests that crash instances of the plain service.
+        self.crash_paths: set[str] = set()
+        # Crashed instances and when they crashed, in seconds of the monotonic clock.
+        self.crashes: list[tuple[FleetInstance, float]] = []
+        # Disturbances of programs and the store: name, begin and end.
+        self.disturbances: list[tuple[str, float, float]] = []
         # Programs that were frozen and instances whose links were bent, from and to.
         self.held_up: list[tuple[str, float, float]] = []
         # Broken promises, in words.
@@ -108,6 +118,9 @@
         )
         for model in models:
             instance.versions[model] = self.named_version
+        if upstream == "app":
+            instance.crash_paths = self.crash_paths
+            instance.on_crash = lambda: self._crashed(instance)
         await instance.start()
         relay = Relay(instance.port)
         await relay.start()
@@ -125,6 +138,21 @@
         if getattr(made, "value", value) != value:
             await client.replace(names.INSTANCE_KIND, instance.id, value, None)
 
+    def _crashed(self, instance: FleetInstance) -> None:
+        """Record the crash of an instance and schedule its replacement."""
+        self.crashes.append((instance, _now_s()))
+        self.counts["crash"] += 1
+        instance.is_leaving = True
+        self.instance_relays[instance.id].stop()
+        self.spawn(self._replace(instance))
+
+    async def _replace(self, instance: FleetInstance) -> None:
+        await asyncio.sleep(_REPLACE_S)
+        client = self.store.client()
+        while await client.delete(names.INSTANCE_KIND, instance.id) is not None:
+            await asyncio.sleep(_LOOK_S)
+        await self.add_instance(instance.upstream)
+
     async def _relay_to_store(self) -> Relay:
         relay = Relay(self.store.port)
         await relay.start()
@@ -176,9 +204,11 @@
                     self.violated(f"{name} ended by itself: {process.returncode}")
                 program.is_ended_by_us = False
                 program.is_frozen = False
+                ended_s = _now_s()
                 await asyncio.sleep(_RESTART_S)
                 program.incarnation += 1
                 program.begun_s = _now_s()
+                self.disturbances.append((name, ended_s, program.begun_s))
                 await program.process.start()
 
     async def _heartbeats(self) -> None:
@@ -212,6 +242,13 @@
         """Return how often any instance failed a request after running it."""
         return sum(item.failures[request_id] for item in self.fleet.instances)
 
+    def is_undisturbed(self, entry: str, at_s: float, for_s: float) -> bool:
+        """Whether an entry and the store were undisturbed for some time before."""
+        return not any(
+            name in (entry, STORE) and begun_s <= at_s and ended_s >= at_s - for_s
+            for name, begun_s, ended_s in self.disturbances
+        )
+
     def any_entry(self) -> Program:
         """Return an entry, as the platform's balancer might."""
         return self.random.choice(list(self.entries.values()))
