Fetch a newer configuration from other entries while the store is silent

Cause: a relay of changes whose store has fallen silent follows nobody. Change: an entry that watches the store itself asks other entries for a newer configuration by its revision, three in a round while the store is silent to it, one now and then while it answers. A relay that lacks the store refuses its followers at once. Messages of entries are answered by a table of types.

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -18,6 +18,11 @@
     should_checkpoint,
 )
 from ._choice import CallChooser, Candidate, ChooserSettings
+from ._configuration_check import (
+    ConfigurationSource,
+    entries_to_ask,
+    round_interval_s,
+)
 from ._crash_quarantine import (
     Admission,
     AdmissionDecision,
@@ -143,6 +148,7 @@
     "CallPolicy",
     "Candidate",
     "ChooserSettings",
+    "ConfigurationSource",
     "CrashHistory",
     "Dispatch",
     "FairQueue",
@@ -179,6 +185,7 @@
     "decide_admission",
     "engine_rank",
     "engines_preferred_by_others",
+    "entries_to_ask",
     "entry_capacity",
     "fallback_entry_of",
     "fetch_sources",
@@ -211,6 +218,7 @@
     "relays_to_use",
     "rendezvous_order",
     "restart_pause_s",
+    "round_interval_s",
     "sample_pause_s",
     "should_checkpoint",
     "should_give_up",
--- a/pistachioglade/decisions/_policy.py
+++ b/pistachioglade/decisions/_policy.py
@@ -74,6 +74,8 @@
     WATCHED_NEIGHBOUR = "watched-neighbour"
     # A few entries watch the store for the others. Without: each entry watches.
     WATCH_RELAYS = "watch-relays"
+    # Entries ask each other for a newer configuration. Without: only watches show it.
+    CONFIGURATION_CHECK = "configuration-check"
 
 
 @attrs.frozen
--- a/pistachioglade/messages/_entries.py
+++ b/pistachioglade/messages/_entries.py
@@ -120,9 +120,24 @@
     revision: int
 
 
+@attrs.frozen
+class FetchNewer:
+    """Ask an entry for an object if its copy is newer than the sender's.
+
+    The answer is a :class:`StoredRecord`, or an acknowledgement if it isn't newer.
+    """
+
+    # Kind of the object.
+    kind: str
+    # Name of the object.
+    name: str
+    # Revision that the sender has; 0 if it has none.
+    revision: int
+
+
 @attrs.frozen
 class StoredRecord:
-    """Send a stored object to the node that runs the job of the object."""
+    """A stored object, as a call or as the answer to :class:`FetchNewer`."""
 
     # Name of the object.
     name: str
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -26,13 +26,16 @@
 from ..jobs import JOB_KIND, JobCleaner, JobLedger, JobOwner, JobReader
 from ..links import Identity, LinkPool, LinkServer
 from ..logs import logger
+from ..messages import EngineUnattended, FetchChanges, FetchNewer, RelayCall
 from ..metrics import Metrics
 from ..platform import EntryChanges, ProcessSettings, names
 from ..quarantine import CRASH_KIND, CrashLedger, CrashRecordStore
 from ..store import Mirror, StoreClient
 from ..tasks import Supervisor
 from ..weights import FallbackEngineOrders
+from ._configuration_check import ConfigurationCheck
 from ._entry_gauges import register_gauges
+from ._entry_messages import EntryMessages
 from ._ingress import Ingress
 from ._job_calls import JobCalls
 from ._members import ENTRY_KIND, Members
@@ -160,9 +163,6 @@
             links,
             self._ledger,
             self._owner,
-            self._store_relays,
-            self._fallback_orders.accept_engine,
-            self._watch_relays.answer,
             self._crashes,
             policy,
         )
@@ -198,7 +198,6 @@
             policy,
         )
         self._owner.on_run_started.append(self._versions.refresh_for_job)
-        self._link_server = LinkServer(identity, self._peers.answer)
         calls = JobCalls(
             self._owner, self._ledger, self._store, reader, self._peers, self._members
         )
@@ -212,6 +211,14 @@
             batch_window_s=lambda: _CONFIGURATIONS_GATHER_S,
             follow=self._watch_relays.fetch_changes,
         )
+        self._configuration_check = ConfigurationCheck(
+            self._members,
+            links,
+            self._store,
+            self._configurations,
+            settings.config_apply_s,
+            policy,
+        )
         self._instances = Mirror(
             self._store,
             names.INSTANCE_KIND,
@@ -233,6 +240,7 @@
             JOB_KIND: self._jobs,
             CRASH_KIND: self._crash_records.mirror,
         }
+        self._link_server = LinkServer(identity, self._entry_messages().answer)
         self._view.on_list_outdated.append(self._instances.fetch_now)
         self._view.on_configuration.append(self._apply_limits)
         self._view.on_configuration.append(self._owner.reconcile_all)
@@ -245,6 +253,16 @@
             self._crashes,
         )
 
+    def _entry_messages(self) -> EntryMessages:
+        """Return what answers the messages of other entries."""
+        messages = EntryMessages()
+        self._peers.register_messages(messages)
+        messages.register(FetchChanges, self._watch_relays.answer)
+        messages.register(FetchNewer, self._configuration_check.answer)
+        messages.register(RelayCall, self._store_relays.answer)
+        messages.register(EngineUnattended, self._fallback_orders.accept_engine)
+        return messages
+
     @property
     def is_ready(self) -> bool:
         """Whether the platform may send callers to this entry."""
@@ -296,6 +314,7 @@
             lambda: self._watch_relays.store_check_interval_s,
         )
         start("configurations", self._configurations.run)
+        start("configuration-check", self._configuration_check.run, may_end=True)
         start("instances", self._instances.run)
         start("jobs", self._jobs.run)
         start("entries", self._members.mirror.run)
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from functools import singledispatchmethod
-from typing import Any, Final
+from typing import Final
 
 from ..decisions import (
     ENTRY_CALL_TIMEOUT_S,
@@ -29,14 +27,11 @@
     parse_name,
     submission_text,
 )
-from ..links import LinkPool, Peer
+from ..links import LinkPool
 from ..logs import logger
 from ..messages import (
     Acknowledged,
     AskHome,
-    ChangePage,
-    EngineUnattended,
-    FetchChanges,
     FetchResults,
     FetchSent,
     FetchTexts,
@@ -44,8 +39,6 @@
     InstancesCrashed,
     Probe,
     ProbeAnswer,
-    RelayAnswer,
-    RelayCall,
     ResultPage,
     SamplesRunning,
     SampleTexts,
@@ -55,8 +48,8 @@
 from ..platform import Entry
 from ..quarantine import CrashLedger
 from ..store import StoreClient
+from ._entry_messages import EntryMessages
 from ._members import ENTRY_KIND, Members
-from ._store_ways import StoreRelays
 
 #: Time between two checks for jobs whose owner is not listed.
 _ORPHAN_CHECK_S: Final = 0.5
@@ -88,20 +81,11 @@
         links: LinkPool,
         ledger: JobLedger,
         owner: JobOwner,
-        store_relays: StoreRelays,
-        accept_engine: Callable[[EngineUnattended], Acknowledged | Refusal],
-        serve_changes: Callable[[FetchChanges], Awaitable[ChangePage | Refusal]],
         crashes: CrashLedger,
         policy: Policy = FULL_POLICY,
     ) -> None:
         self._crashes = crashes
         self._policy = policy
-        self._store_relays = store_relays
-        # Accepts an engine whose engine program can't be reached: this entry then sends
-        # the engine's load orders.
-        self._accept_engine = accept_engine
-        # Answers entries that follow this entry's copies of the store's kinds.
-        self._serve_changes = serve_changes
         self._members = members
         self._view = view
         self._boot = boot
@@ -118,25 +102,25 @@
 
     # Messages of other entries.
 
-    async def answer(self, message: Any, peer: Peer) -> Any:
-        """Answer one message."""
-        return await self._dispatch(message)
+    def register_messages(self, messages: EntryMessages) -> None:
+        """Register the answers to the messages about probes, jobs and samples."""
+        messages.register(Probe, self._answer_probe)
+        messages.register(AskHome, self._answer_candidate_check)
+        messages.register(FetchResults, self._answer_results)
+        messages.register(FetchSent, self._answer_sent_fields)
+        messages.register(StoredRecord, self._accept_record)
+        messages.register(SamplesRunning, self._record_samples)
+        messages.register(FetchTexts, self._answer_texts)
+        messages.register(InstancesCrashed, self._record_crashes)
 
-    @singledispatchmethod
-    async def _dispatch(self, message: Any) -> Any:
-        return refuse(ErrorKind.BAD_REQUEST, f"not for entries: {message!r:.80}")
-
-    @_dispatch.register
     async def _answer_probe(self, message: Probe) -> ProbeAnswer:
         return ProbeAnswer(
             self._boot, self._store.last_answer_age_s, self._store.is_directly_reachable
         )
 
-    @_dispatch.register
     async def _answer_candidate_check(self, message: AskHome) -> HomeAnswer:
         return HomeAnswer(await self._can_take_job())
 
-    @_dispatch.register
     async def _answer_results(self, message: FetchResults) -> ResultPage:
         state = self._ledger.find(message.job_id)
         if state is None:
@@ -149,14 +133,12 @@
         is_last = len(state.results) == state.total
         return ResultPage(state.page(message.after), is_running or is_last)
 
-    @_dispatch.register
     async def _answer_sent_fields(self, message: FetchSent) -> SentFields:
         state = self._ledger.find(message.job_id)
         if state is None or state.submission is None or not state.is_complete:
             return SentFields("")
         return SentFields(submission_text(state.submission))
 
-    @_dispatch.register
     async def _accept_record(self, message: StoredRecord) -> Acknowledged | Refusal:
         name = parse_name(message.name)
         is_job = name is not None and name.kind is RecordKind.SUBMISSION
@@ -184,7 +166,6 @@
             )
         return is_store_fresh(self._store.last_answer_age_s)
 
-    @_dispatch.register
     async def _record_samples(self, message: SamplesRunning) -> Acknowledged:
         self._view.record_samples(message.owner, message.by_engine)
         return Acknowledged()
@@ -204,17 +185,9 @@
                 )
             )
 
-    @_dispatch.register
     async def _answer_texts(self, message: FetchTexts) -> SampleTexts:
         return self._owner.hand_over_texts(message.job_id)
 
-    @_dispatch.register
-    async def _answer_unattended_engine(
-        self, message: EngineUnattended
-    ) -> Acknowledged | Refusal:
-        return self._accept_engine(message)
-
-    @_dispatch.register
     async def _record_crashes(self, message: InstancesCrashed) -> Acknowledged:
         self._crashes.record_reported(message.request_digest, message.instances)
         return Acknowledged()
@@ -232,14 +205,6 @@
             )
         )
 
-    @_dispatch.register
-    async def _answer_follower(self, message: FetchChanges) -> ChangePage | Refusal:
-        return await self._serve_changes(message)
-
-    @_dispatch.register
-    async def _relay_call(self, message: RelayCall) -> RelayAnswer | Refusal:
-        return await self._store_relays.answer(message)
-
     async def notify_owner(self, owner: str, entry: Entry) -> bool:
         """Send a job's owner a record that its watch would return a little later.
 
--- a/pistachioglade/serving/_watch_relays.py
+++ b/pistachioglade/serving/_watch_relays.py
@@ -98,16 +98,23 @@
         self._log.info("relay-abandoned", relay=relay, kind=kind, reason=answer.reason)
         return None
 
+    @property
+    def _is_current(self) -> bool:
+        """Whether the store has answered this entry recently enough for followers."""
+        age_s = self._store.last_answer_age_s
+        return age_s is not None and age_s <= self._age_limit_s
+
     async def answer(self, message: FetchChanges) -> ChangePage | Refusal:
         """Answer a follower with the changes after its revision."""
         mirror = self.mirrors.get(message.kind)
         if mirror is None or not self.is_relay or self._members.is_leaving:
             return refuse(ErrorKind.NOT_OWNER, f"no relay of {message.kind:.40}")
         hold_s = min(_LONGEST_HOLD_S, message.hold_s)
+        if not self._is_current:
+            return _lacks_store()
         entry_changes = await mirror.log.changes_after(message.revision, hold_s)
-        age_s = self._store.last_answer_age_s
-        if age_s is None or age_s > self._age_limit_s:
-            return refuse(ErrorKind.PLATFORM_UNAVAILABLE, "this relay lacks the store")
+        if not self._is_current:
+            return _lacks_store()
         return (
             entry_changes
             if isinstance(entry_changes, Refusal)
@@ -115,6 +122,10 @@
         )
 
 
+def _lacks_store() -> Refusal:
+    return refuse(ErrorKind.PLATFORM_UNAVAILABLE, "this relay lacks the store")
+
+
 def _encode_changes(entry_changes: EntryChanges) -> ChangePage:
     records = (
         ChangeRecord(
--- a/pistachioglade/serving/tests/test_failing_work.py
+++ b/pistachioglade/serving/tests/test_failing_work.py
@@ -26,6 +26,7 @@
 _RESTART_DELAY_S = 0.2
 _TASKS = (
     "configurations",
+    "configuration-check",
     "instances",
     "jobs",
     "entries",
--- a/pistachioglade/serving/tests/test_peers.py
+++ b/pistachioglade/serving/tests/test_peers.py
@@ -16,9 +16,6 @@
 from ...messages import (
     Acknowledged,
     AskHome,
-    ChangePage,
-    EngineUnattended,
-    FetchChanges,
     HomeAnswer,
     ProbeAnswer,
     StoredRecord,
@@ -28,6 +25,7 @@
 from ...quarantine import CrashLedger
 from ...store import StoreClient
 from ...store.tests.served import run, served_store
+from .._entry_messages import EntryMessages
 from .._members import ENTRY_KIND, Members
 from .._neighbour import NeighbourWatch
 from .._peers import Peers
@@ -45,14 +43,6 @@
     neighbour: NeighbourWatch
 
 
-def _refuse_engine(message: EngineUnattended) -> Acknowledged | Refusal:
-    return refuse(ErrorKind.NOT_FOUND, "not played")
-
-
-async def _refuse_changes(message: FetchChanges) -> ChangePage | Refusal:
-    return refuse(ErrorKind.NOT_OWNER, "not played")
-
-
 def _scene(client: StoreClient, links: LinkPool) -> _Scene:
     view = FleetView(lambda: None)
     ledger = JobLedger()
@@ -73,9 +63,6 @@
         links,
         ledger,
         owner,
-        store_relays,
-        _refuse_engine,
-        _refuse_changes,
         CrashLedger(),
     )
     neighbour = NeighbourWatch(
@@ -203,17 +190,18 @@
     async def work() -> None:
         async with served_store() as store:
             client = store.client()
-            peers = _scene(client, _unreachable_links()).peers
+            messages = EntryMessages()
+            _scene(client, _unreachable_links()).peers.register_messages(messages)
             fields = {"items": [{"id": "i0", "path": "/"}]}
             submission = Submission("me@h:1", "b", "h", "/", 0.0, fields)
             message = StoredRecord("new", 7, encode_submission(submission))
             store.standin.faults.down = True
             await client.probe("jobs", "-", 1.0)
-            reply = await peers.answer(message, Peer("other"))
+            reply = await messages.answer(message, Peer("other"))
             assert isinstance(reply, Refusal)
             store.standin.faults.down = False
             # The entry checks the store again before it refuses a job.
-            reply = await peers.answer(message, Peer("other"))
+            reply = await messages.answer(message, Peer("other"))
             assert isinstance(reply, Acknowledged)
 
     run(work)
--- a/pistachioglade/serving/tests/test_watch_relays.py
+++ b/pistachioglade/serving/tests/test_watch_relays.py
@@ -15,6 +15,7 @@
 
 from ...decisions import RELAY_GATHER_FRACTION, relays_of
 from ...errors import ErrorKind, Refusal, refuse
+from ...links import Peer
 from ...messages import ChangePage, FetchChanges
 from ...platform import Entry, names
 from ...store import Mirror, StoreClient
@@ -26,6 +27,7 @@
     run_virtual,
     until,
 )
+from .._entry_messages import EntryMessages
 from .._watch_relays import WatchRelays
 
 #: Time for which a leaving instance serves: the shortest of all deployments.
@@ -56,10 +58,10 @@
         return await super().request(method, target, *more)
 
 
-class _Node:
+class FleetNode:
     """An entry's copy of the instances, and its connections to store and entries."""
 
-    def __init__(self, name: str, fleet: _Fleet, policy: Any) -> None:
+    def __init__(self, name: str, fleet: Fleet, policy: Any, kind: str) -> None:
         self.name = name
         self._fleet = fleet
         self.is_down = False
@@ -76,12 +78,14 @@
         )
         self.mirror = Mirror(
             self.client,
-            KIND,
+            kind,
             self._record_change,
             batch_window_s=self._gather_s,
             follow=self._follow,
         )
-        self.relays.mirrors = {KIND: self.mirror}
+        self.relays.mirrors = {kind: self.mirror}
+        self.messages = EntryMessages()
+        self.messages.register(FetchChanges, self.relays.answer)
         # Time at which this entry first saw each object, in seconds, by name.
         self.seen_s: dict[str, float] = {}
         self.tasks = [
@@ -106,7 +110,7 @@
         else:
             self.seen_s.setdefault(entry.name, now_s())
 
-    async def call(self, address: str, message: FetchChanges, timeout_s: float) -> Any:
+    async def call(self, address: str, message: Any, timeout_s: float) -> Any:
         """Call another entry, in place of a link pool."""
         other = self._fleet.nodes[address]
         try:
@@ -114,7 +118,7 @@
                 await asyncio.sleep(0.002)
                 if other.is_down or self.is_down:
                     await asyncio.sleep(3600)
-                return await other.relays.answer(message)
+                return await other.messages.answer(message, Peer(self.name))
         except TimeoutError:
             return refuse(ErrorKind.DEADLINE_EXCEEDED, "no answer")
 
@@ -125,17 +129,19 @@
             task.cancel()
 
 
-class _Fleet:
+class Fleet:
     """All entries of one store."""
 
-    def __init__(self, policy: tuple[Any, ...] = ()) -> None:
+    def __init__(
+        self, policy: tuple[Any, ...] = (), kind: str = KIND, size: int = NODES
+    ) -> None:
         self.store = ScriptedStore()
-        self.names = tuple(f"entry-{number:02d}" for number in range(NODES))
-        self.nodes = {name: _Node(name, self, policy) for name in self.names}
+        self.names = tuple(f"entry-{number:02d}" for number in range(size))
+        self.nodes = {name: FleetNode(name, self, policy, kind) for name in self.names}
         self.relays = [self.nodes[name] for name in relays_of(self.names)]
 
     @property
-    def alive(self) -> list[_Node]:
+    def alive(self) -> list[FleetNode]:
         return [node for node in self.nodes.values() if not node.is_down]
 
     @property
@@ -154,9 +160,9 @@
             node.lose()
 
 
-def _run_case(case: Callable[[_Fleet], Awaitable[None]], *policy: Any) -> None:
+def _run_case(case: Callable[[Fleet], Awaitable[None]], *policy: Any) -> None:
     async def work() -> None:
-        fleet = _Fleet(policy)
+        fleet = Fleet(policy)
         try:
             await case(fleet)
         finally:
@@ -166,7 +172,7 @@
 
 
 def test_a_change_reaches_all_entries_with_few_calls() -> None:
-    async def case(fleet: _Fleet) -> None:
+    async def case(fleet: Fleet) -> None:
         await until(5.0)
         before = fleet.paid
         slowest = [0.0]
@@ -183,7 +189,7 @@
 
 
 def test_an_object_that_is_removed_and_created_again_stays() -> None:
-    async def case(fleet: _Fleet) -> None:
+    async def case(fleet: Fleet) -> None:
         fleet.store.put(KIND, "i", {"run": 1})
         await until(5.0)
         fleet.store.remove(KIND, "i")
@@ -205,7 +211,7 @@
 ) -> None:
     """One or all relays fall silent just before a change."""
 
-    async def case(fleet: _Fleet) -> None:
+    async def case(fleet: Fleet) -> None:
         await until(10.0 + tenth / 10)
         for relay in fleet.relays[:lost]:
             relay.lose()
@@ -228,7 +234,7 @@
 ) -> None:
     """Only the relay is cut off; its followers still have to see changes in time."""
 
-    async def case(fleet: _Fleet) -> None:
+    async def case(fleet: Fleet) -> None:
         await until(10.0 + tenth / 10)
         relay = fleet.relays[0]
         relay.connection.set_condition(condition)
@@ -242,7 +248,7 @@
 
 
 def test_a_follower_whose_revision_is_unknown_lists_anew() -> None:
-    async def case(fleet: _Fleet) -> None:
+    async def case(fleet: Fleet) -> None:
         await until(5.0)
         for relay in fleet.relays:
             relay.mirror.log.reset(fleet.store.revision + 1)
@@ -255,7 +261,7 @@
 
 
 def test_an_entry_that_is_no_relay_refuses_followers() -> None:
-    async def case(fleet: _Fleet) -> None:
+    async def case(fleet: Fleet) -> None:
         await until(2.0)
         follower = next(node for node in fleet.alive if node not in fleet.relays)
         answer = await follower.relays.answer(FetchChanges(KIND, 0, 0.1))
--- a/pistachioglade/store/_watch.py
+++ b/pistachioglade/store/_watch.py
@@ -10,7 +10,7 @@
 from ..decisions import Mechanism
 from ..errors import ErrorKind, Refusal, refuse
 from ..logs import logger
-from ..platform import Entry, EntryChanges
+from ..platform import Entry, EntryChange, EntryChanges
 from ._change_log import ChangeLog
 from ._client import StoreClient
 
@@ -227,6 +227,20 @@
         if known is None or known.revision < entry.revision:
             self._apply(entry, False)
 
+    def add_relayed(self, entry: Entry) -> None:
+        """Apply an object that another node has read, if it is newer; keep its change.
+
+        Nodes that follow this copy get the change too.
+        """
+        self.apply_newer(entry)
+        self._revision = max(self._revision, entry.revision)
+        self.log.add((EntryChange(entry, False),), self._revision)
+
+    @property
+    def is_relayed(self) -> bool:
+        """Whether another node answered the last request for changes."""
+        return self._is_relayed
+
     def _apply(self, entry: Entry, is_removed: bool) -> None:
         if is_removed:
             self.entries.pop(entry.name, None)
