One lease type for engines' orders and duties towards the platform

Cause: a duty needs what an engine's orders have: one holder, a fencing token that only rises, no turns within a lease. Change: weights/_order_lease.py becomes leases/_lease.py; what is leased is a value (LeaseTerms). Where the called side refuses lower tokens, a holder may wait for its own last call only (takeover_wait_s).

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -32,12 +32,6 @@
     is_quarantined,
     sample_pause_s,
 )
-from ._engine_orders import (
-    ORDER_WINDOW_S,
-    fallback_entry_of,
-    first_order_wait_s,
-    may_take_orders,
-)
 from ._failover import (
     ENTRY_CALL_TIMEOUT_S,
     LATE_ANSWER_TIMEOUT_S,
@@ -80,6 +74,13 @@
 from ._kept_steps import FinishedStep, steps_to_evict
 from ._keys import Attach, KeyGate, Replay, Run
 from ._lease import LeaseObserver
+from ._lease_turns import (
+    CALL_WINDOW_S,
+    fallback_entry_of,
+    first_call_wait_s,
+    may_take_lease,
+    takeover_wait_s,
+)
 from ._membership import BUCKET_COUNT, Membership
 from ._placement import AgentView, GroupAffinity, PlacementPolicy, slow_agents
 from ._policy import (
@@ -123,13 +124,13 @@
 __all__ = [
     "ABSENT_EXCLUSION_S",
     "BUCKET_COUNT",
+    "CALL_WINDOW_S",
     "ENTRY_CALL_TIMEOUT_S",
     "FULL_POLICY",
     "LATE_ANSWER_TIMEOUT_S",
     "MAX_LAG_VERSIONS",
     "MIN_CHECKPOINT_EVENTS",
     "NEIGHBOUR_ANSWER_WAIT_S",
-    "ORDER_WINDOW_S",
     "PROBE_INTERVAL_S",
     "RELAY_AGE_FRACTION",
     "RELAY_COOLDOWN_S",
@@ -190,7 +191,7 @@
     "fallback_entry_of",
     "fetch_sources",
     "fingers",
-    "first_order_wait_s",
+    "first_call_wait_s",
     "has_lost_store",
     "has_retention_expired",
     "history_retention_s",
@@ -202,7 +203,7 @@
     "may_have_lapsed",
     "may_resend",
     "may_retry",
-    "may_take_orders",
+    "may_take_lease",
     "may_try_again",
     "median_gap_s",
     "neighbour_of",
@@ -235,6 +236,7 @@
     "steps_to_evict",
     "stream_silence_s",
     "successor_of",
+    "takeover_wait_s",
     "transfer_time_s",
     "try_time_s",
     "wave_delay_s",
--- a/pistachioglade/serving/_engine_program.py
+++ b/pistachioglade/serving/_engine_program.py
@@ -11,6 +11,7 @@
 from ..errors import ErrorKind, Refusal, refuse
 from ..fleet import Instance
 from ..http1 import Pool
+from ..leases import ENGINE_LEASE_KIND, Lease, LeaseTerms
 from ..links import Identity, LinkServer, Peer
 from ..logs import logger
 from ..messages import Acknowledged, Probe, VersionNamed
@@ -25,7 +26,7 @@
 )
 from ..store import StoreClient
 from ..tasks import Supervisor
-from ..weights import EngineOrders, OrderLease, OrderStep, Progress
+from ..weights import EngineOrders, OrderStep, Progress
 from ._secret import SHARED_SECRET
 from ._settings_watch import SettingsWatch
 
@@ -69,15 +70,14 @@
         self._store = StoreClient(
             settings.store.host, settings.store.port, metrics, policy=policy
         )
-        lease = OrderLease(
-            self._store,
+        terms = LeaseTerms(
+            ENGINE_LEASE_KIND,
             str(settings.engine),
-            settings.node,
-            secrets.token_hex(4),
-            True,
             settings.lease_s,
             settings.checks_fences,
+            is_beside=True,
         )
+        lease = Lease(self._store, terms, settings.node, secrets.token_hex(4))
         self._orders = EngineOrders(
             Pool(settings.engine.host, settings.engine.port),
             settings.node,
--- a/pistachioglade/weights/_engine_orders.py
+++ b/pistachioglade/weights/_engine_orders.py
@@ -8,9 +8,10 @@
 
 import attrs
 
-from ..decisions import ORDER_WINDOW_S, should_load
+from ..decisions import CALL_WINDOW_S, should_load
 from ..errors import ErrorKind, Refusal, refuse
 from ..http1 import Pool, Response
+from ..leases import Lease
 from ..logs import logger
 from ..platform import (
     EngineState,
@@ -20,10 +21,9 @@
     is_misdirected,
     names,
 )
-from ._order_lease import OrderLease
 
 #: Timeout of one call to the engine, in seconds.
-_CALL_TIMEOUT_S: Final = ORDER_WINDOW_S / 2
+_CALL_TIMEOUT_S: Final = CALL_WINDOW_S / 2
 #: Status of an order whose fencing token is lower than one that the engine has seen.
 _TOKEN_REFUSED_STATUS: Final = 412
 
@@ -60,7 +60,7 @@
         self,
         engine: Pool,
         holder: str,
-        lease: OrderLease,
+        lease: Lease,
         rank: Callable[[], Awaitable[int]],
         skips_versions: bool,
         instance_id: str = "",
--- a/pistachioglade/weights/_unattended.py
+++ b/pistachioglade/weights/_unattended.py
@@ -20,11 +20,11 @@
 from ..fleet import Instance
 from ..forwarding import FleetView
 from ..http1 import Pool
+from ..leases import ENGINE_LEASE_KIND, Lease, LeaseTerms
 from ..logs import logger
 from ..messages import Acknowledged, EngineUnattended
 from ..store import StoreClient
 from ._engine_orders import EngineOrders, OrderStep, Progress
-from ._order_lease import OrderLease
 
 #: Time between two steps of an engine that loads weights, in seconds.
 _POLL_INTERVAL_S: Final = 0.5
@@ -45,7 +45,7 @@
     # Reads the engine's state and sends its orders.
     orders: EngineOrders
     # The lease on the engine's orders.
-    lease: OrderLease
+    lease: Lease
     # Connections to the engine.
     pool: Pool
     # Set when a step is due: a newer version was named, or the last step has not
@@ -120,14 +120,11 @@
 
     def _create_engine(self, instance: Instance) -> _Engine:
         address = f"{instance.host}:{instance.port}"
-        lease = OrderLease(
+        lease = Lease(
             self._store,
-            address,
+            LeaseTerms(ENGINE_LEASE_KIND, address, self._lease_s, self._checks_fences),
             self._node,
             self._boot,
-            False,
-            self._lease_s,
-            self._checks_fences,
             partial(self._assign_to_holder, instance.id),
         )
         pool = Pool(instance.host, instance.port)
--- a/pistachioglade/weights/tests/test_turns.py
+++ b/pistachioglade/weights/tests/test_turns.py
@@ -19,9 +19,10 @@
 
 from ...errors import ErrorKind, Refusal, refuse
 from ...http1 import Response
+from ...leases import ENGINE_LEASE_KIND, Lease, LeaseTerms
 from ...platform import Entry, names
 from ...store.tests.scripted import now_s, run_virtual, until
-from .. import EngineOrders, OrderLease, OrderStep, Progress
+from .. import EngineOrders, OrderStep, Progress
 
 LEASE_S = 3.0
 #: Time between two named versions, in seconds.
@@ -144,14 +145,14 @@
 
     def start(self) -> None:
         """Start or restart the process, with a new lease object."""
-        self._lease = OrderLease(
+        terms = LeaseTerms(
+            ENGINE_LEASE_KIND, "10.0.0.9:80", LEASE_S, self._checks, self._is_beside
+        )
+        self._lease = Lease(
             self._store,  # type: ignore[arg-type]
-            "10.0.0.9:80",
+            terms,
             self._node,
             f"boot-{next(self._boots)}",
-            self._is_beside,
-            LEASE_S,
-            self._checks,
             self._is_holder_active,
         )
         self._orders = EngineOrders(
