Usage reports, thin: counters at each entry, one report a window

Change: usage/ counts each caller's request once, in the window in which an instance began it; counters merge by maximum and are copied to an entry of another failure domain within 0.1 s. The holder of the duty's lease collects all entries' counters, writes them into the lease's payload, and posts just these.

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -110,6 +110,14 @@
 from ._store_calls import AdaptiveTimeout, transfer_time_s
 from ._store_outage import StoreOutage, may_have_lapsed
 from ._transfer import fetch_sources, wave_delay_s
+from ._usage_reports import (
+    MAX_DUTY_RANKS,
+    MAX_LEDGER_WINDOWS,
+    ReportTerms,
+    clock_correction_s,
+    copy_holder,
+    duty_order,
+)
 from ._watch_relays import (
     RELAY_AGE_FRACTION,
     RELAY_COOLDOWN_S,
@@ -128,7 +136,9 @@
     "ENTRY_CALL_TIMEOUT_S",
     "FULL_POLICY",
     "LATE_ANSWER_TIMEOUT_S",
+    "MAX_DUTY_RANKS",
     "MAX_LAG_VERSIONS",
+    "MAX_LEDGER_WINDOWS",
     "MIN_CHECKPOINT_EVENTS",
     "NEIGHBOUR_ANSWER_WAIT_S",
     "PROBE_INTERVAL_S",
@@ -168,6 +178,7 @@
     "Policy",
     "RelayReport",
     "Replay",
+    "ReportTerms",
     "RetryBudget",
     "Run",
     "StepPlan",
@@ -181,9 +192,12 @@
     "choose_job_owner",
     "classify_refusal",
     "classify_run",
+    "clock_correction_s",
     "consecutive_failures",
+    "copy_holder",
     "count_fitting",
     "decide_admission",
+    "duty_order",
     "engine_rank",
     "engines_preferred_by_others",
     "entries_to_ask",
--- a/pistachioglade/forwarding/_forward.py
+++ b/pistachioglade/forwarding/_forward.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Iterator
+from contextlib import closing
 
 import attrs
 
@@ -23,6 +24,7 @@
 from ..metrics import Metrics
 from ..platform import caller_deadline_s
 from ..quarantine import CrashLedger, RequestGuard, request_digest
+from ..usage import RequestMeter, UsageMeter
 from ._fleet_view import FleetView, InstanceHandle
 from ._upstream_call import call_instance
 
@@ -66,7 +68,10 @@
         metrics: Metrics | None = None,
         budget: RetryBudget | None = None,
         crashes: CrashLedger | None = None,
+        usage: UsageMeter | None = None,
     ) -> None:
+        # Counts the requests that instances begin; None to count none.
+        self._usage = usage
         self._crashes = CrashLedger() if crashes is None else crashes
         self._metrics = metrics or Metrics()
         self._view = view
@@ -98,14 +103,24 @@
 
     async def forward_counted(self, call: ForwardedCall) -> ForwardedAnswer:
         """Forward a request; return its result and the number of failed answers."""
+        upstream = choose_upstream(call.route, call.request_id)
+        guard = RequestGuard(self._crashes, call.request, call.request_id, call.account)
+        with closing(RequestMeter(self._usage, call.account)) as meter:
+            return await self._try_instances(call, upstream, guard, meter)
+
+    async def _try_instances(
+        self,
+        call: ForwardedCall,
+        upstream: str,
+        guard: RequestGuard,
+        meter: RequestMeter,
+    ) -> ForwardedAnswer:
         loop = asyncio.get_running_loop()
         route = call.route
-        upstream = choose_upstream(route, call.request_id)
         forwarded = attrs.evolve(call.request, fields=end_to_end(call.request.fields))
         policy = CallPolicy(
             route.kind is RouteKind.IDEMPOTENT, route.max_attempts, route.aim_s
         )
-        guard = RequestGuard(self._crashes, call.request, call.request_id, call.account)
         tried: list[str] = []
         may_have_run = False
         failures = 0
@@ -131,7 +146,9 @@
                     call.request_id,
                     try_timeout_s,
                     call.account,
+                    meter.record_sent,
                 )
+            meter.record_end(isinstance(last, Refusal) and last.did_not_run)
             guard.record_result(
                 handle.instance, last if isinstance(last, Refusal) else None
             )
--- a/pistachioglade/forwarding/_stream.py
+++ b/pistachioglade/forwarding/_stream.py
@@ -35,6 +35,7 @@
 from ..metrics import Metrics
 from ..platform import last_event_of, request_fields, resume_fields
 from ..quarantine import CrashLedger, RequestGuard
+from ..usage import RequestMeter, UsageMeter
 from ._events import EventDecoder, StreamEvent
 from ._fleet_view import FleetView, InstanceHandle
 from ._forward import (
@@ -77,6 +78,8 @@
     sink: StreamSink
     # Id of the last event that the caller has; None before the first.
     last_event: int | None
+    # Counts the stream at its first event.
+    meter: RequestMeter
     # Whether the head of the answer has been sent.
     is_begun: bool = False
 
@@ -91,7 +94,10 @@
         metrics: Metrics | None = None,
         budget: RetryBudget | None = None,
         crashes: CrashLedger | None = None,
+        usage: UsageMeter | None = None,
     ) -> None:
+        # Counts the streams that instances begin; None to count none.
+        self._usage = usage
         self._crashes = CrashLedger() if crashes is None else crashes
         self._view = view
         self._domain = domain
@@ -107,7 +113,8 @@
         route = call.route
         upstream = choose_upstream(route, call.request_id)
         policy = CallPolicy(route.is_resumable, route.max_attempts, route.aim_s)
-        progress = _Progress(sink, last_event_of(call.request.fields))
+        meter = RequestMeter(self._usage, call.account)
+        progress = _Progress(sink, last_event_of(call.request.fields), meter)
         guard = RequestGuard(self._crashes, call.request, call.request_id, call.account)
         tried: list[str] = []
         may_have_run = False
@@ -328,5 +335,7 @@
             return refuse(ErrorKind.UPSTREAM_LOST, reason)
         self._send_head(head)
         self._progress.last_event = event.number
+        self._progress.meter.record_sent()
+        self._progress.meter.record_end(did_not_run=False)
         await self._progress.sink.write(event.raw)
         return None
--- a/pistachioglade/forwarding/_upstream_call.py
+++ b/pistachioglade/forwarding/_upstream_call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from ..decisions import InstanceRefusal, classify_refusal
 from ..errors import ErrorKind, Refusal, refuse
@@ -22,6 +23,10 @@
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
+def _do_nothing() -> None:
+    """Ignore that a request is sent."""
+
+
 async def call_instance(
     view: FleetView,
     handle: InstanceHandle,
@@ -29,16 +34,21 @@
     request_id: str,
     remaining_s: float,
     account: str = "",
+    on_sent: Callable[[], None] = _do_nothing,
 ) -> Response | Refusal:
     """Return the instance's complete answer, or a refusal if there is none.
 
+    ``on_sent`` is called when the request is about to be written to the instance.
+
     The refusal says NOT_RUN only if nothing was sent or the instance said so.
     """
     record = handle.record
     loop = asyncio.get_running_loop()
     record.outstanding += 1
     try:
-        answer = await _exchange(handle, request, request_id, remaining_s, account)
+        answer = await _exchange(
+            handle, request, request_id, remaining_s, account, on_sent
+        )
     except TimeoutError:
         answer = refuse(ErrorKind.UPSTREAM_LOST, f"no answer in {remaining_s:.3f} s")
     finally:
@@ -60,6 +70,7 @@
     request_id: str,
     remaining_s: float,
     account: str,
+    on_sent: Callable[[], None],
 ) -> Response | Refusal:
     async with asyncio.timeout(remaining_s):
         connection = await handle.pool.acquire(min(CONNECT_TIMEOUT_S, remaining_s))
@@ -68,6 +79,7 @@
         fields = request_fields(
             request.fields, handle.id, remaining_s, request_id, account
         )
+        on_sent()
         try:
             exchange = connection.start(
                 request.method, request.target, fields, request.body
--- a/pistachioglade/messages/__init__.py
+++ b/pistachioglade/messages/__init__.py
@@ -71,6 +71,14 @@
     StepOpened,
     VersionSpan,
 )
+from ._usage import (
+    AskDuty,
+    DutyAnswer,
+    FetchUsage,
+    UsageCounted,
+    UsageKnown,
+    UsageReported,
+)
 
 __all__ = [
     "FIRST_VERSION",
@@ -78,6 +86,7 @@
     "PROTOCOL_VERSION",
     "Acknowledged",
     "AgentLoad",
+    "AskDuty",
     "AskHome",
     "BatchRecord",
     "BucketRecords",
@@ -89,6 +98,7 @@
     "Digest",
     "DigestReply",
     "DrainNode",
+    "DutyAnswer",
     "EngineUnattended",
     "Envelope",
     "FetchChanges",
@@ -99,6 +109,7 @@
     "FetchSamples",
     "FetchSent",
     "FetchTexts",
+    "FetchUsage",
     "Generate",
     "Generated",
     "GetStatus",
@@ -133,6 +144,9 @@
     "StoredRecord",
     "TextRecord",
     "Ticket",
+    "UsageCounted",
+    "UsageKnown",
+    "UsageReported",
     "VersionNamed",
     "VersionSpan",
     "decode_frame",
--- a/pistachioglade/metrics/_metrics.py
+++ b/pistachioglade/metrics/_metrics.py
@@ -86,6 +86,18 @@
             registry=self._registry,
         )
 
+        self._usage_windows = Counter(
+            "pistachioglade_usage_windows",
+            "Windows of usage by how their report ended at this entry.",
+            ("outcome",),
+            registry=self._registry,
+        )
+        self._refusals = Counter(
+            "pistachioglade_refusals",
+            "Callers' requests that were refused, by kind.",
+            ("kind",),
+            registry=self._registry,
+        )
         self._task_failures = Counter(
             "pistachioglade_task_failures",
             "Failures of background work by its name; it starts again.",
@@ -99,6 +111,14 @@
             registry=self._registry,
         )
 
+    def record_usage_window(self, outcome: str) -> None:
+        """Count a window of usage by how its report ended here."""
+        self._usage_windows.labels(outcome).inc()
+
+    def record_refusal(self, kind: str) -> None:
+        """Count a caller's request that was refused."""
+        self._refusals.labels(kind).inc()
+
     def record_task_failure(self, name: str) -> None:
         """Count a failure of background work."""
         self._task_failures.labels(name).inc()
--- a/pistachioglade/platform/__init__.py
+++ b/pistachioglade/platform/__init__.py
@@ -8,6 +8,7 @@
     decode_instance,
     decode_version,
 )
+from ._duties import DutyCall, refusal_of_duty, usage_call
 from ._engine_calls import (
     EngineState,
     InstanceLoad,
@@ -64,6 +65,7 @@
     SETTINGS_VARIABLE,
     Address,
     ProcessSettings,
+    UsageSettings,
     load_settings,
 )
 
@@ -71,6 +73,7 @@
     "DEFAULT_LIMITS",
     "SETTINGS_VARIABLE",
     "Address",
+    "DutyCall",
     "EngineState",
     "Entry",
     "EntryChange",
@@ -79,6 +82,7 @@
     "InstanceLoad",
     "ProcessSettings",
     "StoreCall",
+    "UsageSettings",
     "belongs_to",
     "caller_deadline_s",
     "create_call",
@@ -114,12 +118,14 @@
     "priority_fields",
     "read_call",
     "refusal_of",
+    "refusal_of_duty",
     "replace_call",
     "request_fields",
     "request_id_of",
     "resume_fields",
     "signature_of",
     "status_call",
+    "usage_call",
     "version_fields",
     "wait_s_of",
     "watch_call",
--- a/pistachioglade/platform/_names.py
+++ b/pistachioglade/platform/_names.py
@@ -23,6 +23,8 @@
 KEY: Final = "Api-Key"
 #: Name of the account that a request belongs to; the platform calls it a tenant.
 ACCOUNT: Final = "Pistachioglade-Tenant"
+DUTY_HOLDER: Final = "Pistachioglade-Duty-Holder"
+FENCING_TOKEN: Final = "Pistachioglade-Fencing-Token"
 LAST_EVENT_ID: Final = "Last-Event-Id"
 
 #: First line of a stream event at which the weight version changes.
@@ -32,6 +34,7 @@
 #: Path prefix of jobs; the platform calls a job a lot.
 JOB_PATH: Final = "/v1/lots/"
 ITEM_PATH: Final = "/v1/items/"
+USAGE_PATH: Final = "/usage"
 ENGINE_STATE_PATH: Final = "/v1/report"
 ENGINE_ORDER_PATH: Final = "/v1/order"
 
--- a/pistachioglade/platform/_settings.py
+++ b/pistachioglade/platform/_settings.py
@@ -13,6 +13,8 @@
 #: Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE: Final = "PISTACHIOGLADE_CONFIG"
 
+#: Name of the duty to report usage, in the settings.
+_USAGE_DUTY: Final = "usage_reporting"
 #: Lease duration if the settings name none, in seconds.
 _DEFAULT_LEASE_S: Final = 3.0
 
@@ -30,6 +32,18 @@
         return f"{self.host}:{self.port}"
 
 
+@attrs.frozen
+class UsageSettings:
+    """Where and when usage has to be reported."""
+
+    # Address of the platform's API.
+    api: Address
+    # Length of a window, in seconds.
+    window_s: float
+    # Time after a window's end by which its report is due, in seconds.
+    delay_s: float
+
+
 @attrs.frozen
 class ProcessSettings:
     """The settings that a process gets at its start."""
@@ -72,8 +86,11 @@
     memory_mb: int
     # Least time between orders of two lease holders to one engine, in seconds.
     lease_s: float = _DEFAULT_LEASE_S
-    # Whether engines refuse orders with a lower fencing token than an earlier order.
+    # Whether engines and the platform's API refuse a fencing token that is lower than
+    # an earlier one.
     checks_fences: bool = False
+    # Usage reports that the platform wants; None if it wants none.
+    usage: UsageSettings | None = None
 
 
 def load_settings(path: Path) -> ProcessSettings | Refusal:
@@ -117,6 +134,7 @@
         memory_mb=int(_number(fields, "limits.memory-mb")),
         lease_s=_lease_s(fields),
         checks_fences=fields.get("bounds.fencing-enforced") == "true",
+        usage=_usage(fields),
     )
 
 
@@ -152,6 +170,25 @@
     return _number(fields, name) / 1000.0 if name in fields else _DEFAULT_LEASE_S
 
 
+def _usage(fields: Mapping[str, str]) -> UsageSettings | None:
+    """Return what the usage reports need; None if they are no duty here."""
+    duties = fields.get("cloud-api.duties", "").split(",")
+    if _USAGE_DUTY not in duties:
+        return None
+    return UsageSettings(
+        _required_address(fields, "cloud-api.address"),
+        _positive(fields, "bounds.report-window-s"),
+        _positive(fields, "bounds.usage-delay-s"),
+    )
+
+
+def _positive(fields: Mapping[str, str], name: str) -> float:
+    number = _number(fields, name)
+    if not number > 0.0:
+        raise _FieldError(f"{name}: {number:g} is not positive")
+    return number
+
+
 def _address(fields: Mapping[str, str], name: str) -> Address | None:
     text = fields.get(name, "")
     if not text:
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -41,9 +41,11 @@
 from ._members import ENTRY_KIND, Members
 from ._neighbour import NeighbourWatch
 from ._peers import Peers
+from ._planned_stop import PlannedStop
 from ._secret import SHARED_SECRET
 from ._settings_watch import SettingsWatch
 from ._store_ways import StoreRelays
+from ._usage_duty import UsageDuty
 from ._version_announcer import VersionAnnouncer, is_program_alive, notify_fallback
 from ._watch_relays import WatchRelays
 
@@ -61,15 +63,8 @@
 _JOBS_GATHER_S: Final = 1.0
 #: Time between two checks for idle connections and expired instances.
 _HOUSEKEEPING_S: Final = 0.25
-#: Time between two attempts to hand over jobs at a planned stop.
-_HAND_OVER_RETRY_S: Final = 0.2
-#: Time from the start of a shutdown until idle connections are closed. The platform
-#: removes a node from rotation after two failed readiness checks, a second apart.
-_ROTATION_EXIT_S: Final = 2.3
 #: Retries per hundred first attempts without a retry budget: more than a route allows.
 _UNBOUNDED_PERCENT: Final = 100_000
-#: Fraction of the grace period after which a shutdown stops waiting for requests.
-_GRACE_FRACTION: Final = 0.8
 
 
 class EntryProgram:
@@ -94,21 +89,44 @@
         # A task that is given up stops the process in order; the platform restarts it.
         self._supervisor = Supervisor(metrics, self._is_leaving.set)
         self._view = FleetView(lambda: self._store.outage_age_s, policy)
+        boot = secrets.token_hex(4)
+        self._address = f"{settings.host}:{settings.internal_port}"
+        identity = Identity(settings.node, SHARED_SECRET)
+        links = LinkPool(identity)
+        own_name = f"{settings.node}@{self._address}"
+        self._members = Members(
+            settings.node,
+            self._address,
+            entry_capacity(settings.cpu_cores, settings.link_mbps),
+            boot,
+            self._store,
+            self._view,
+            policy,
+            settings.domain,
+        )
+        self._usage = UsageDuty(
+            settings, boot, self._members, self._store, links, metrics
+        )
         is_bounded = policy.uses(Mechanism.RETRY_BUDGET)
         budget = RetryBudget(RETRY_PERCENT if is_bounded else _UNBOUNDED_PERCENT)
         self._crashes = CrashLedger()
         self._forwarder = Forwarder(
-            self._view, settings.domain, metrics, budget, self._crashes
+            self._view,
+            settings.domain,
+            metrics,
+            budget,
+            self._crashes,
+            self._usage.meter,
         )
         streams = StreamForwarder(
-            self._view, settings.domain, metrics, budget, self._crashes
+            self._view,
+            settings.domain,
+            metrics,
+            budget,
+            self._crashes,
+            self._usage.meter,
         )
         self._ledger = JobLedger()
-        boot = secrets.token_hex(4)
-        self._address = f"{settings.host}:{settings.internal_port}"
-        identity = Identity(settings.node, SHARED_SECRET)
-        links = LinkPool(identity)
-        own_name = f"{settings.node}@{self._address}"
         reader = JobReader(
             own_name,
             self._ledger,
@@ -128,15 +146,6 @@
             policy,
             lambda upstream: self._members.engines_preferred_by_others(upstream),
         )
-        self._members = Members(
-            settings.node,
-            self._address,
-            entry_capacity(settings.cpu_cores, settings.link_mbps),
-            boot,
-            self._store,
-            self._view,
-            policy,
-        )
         self._store_relays = StoreRelays(self._members, self._store, links, policy)
         self._store.relays = self._store_relays.relays
         self._fallback_orders = FallbackEngineOrders(
@@ -257,6 +266,7 @@
         """Return what answers the messages of other entries."""
         messages = EntryMessages()
         self._peers.register_messages(messages)
+        self._usage.register_messages(messages)
         messages.register(FetchChanges, self._watch_relays.answer)
         messages.register(FetchNewer, self._configuration_check.answer)
         messages.register(RelayCall, self._store_relays.answer)
@@ -333,6 +343,8 @@
         start("cleaner", self._cleaner.run)
         start("owner", self._owner.run_scheduler)
         start("texts", self._owner.save_texts, may_end=True)
+        for name, work in self._usage.tasks().items():
+            start(name, work)
         start("housekeeping", self._do_housekeeping)
         start("settings", self._watch.run)
 
@@ -349,7 +361,17 @@
         self._start_tasks()
         self._log.info("started", program="entry", listens=str(settings.callers))
         await self._is_leaving.wait()
-        await self._shut_down()
+        await self._create_stop().run()
+
+    def _create_stop(self) -> PlannedStop:
+        return PlannedStop(
+            self._settings,
+            self._callers,
+            self._owner,
+            self._peers,
+            self._members,
+            (self._fallback_orders.release_all, self._usage.stop),
+        )
 
     async def _enable_jobs(self) -> None:
         """Start to run jobs once all job records of the store have been read."""
@@ -373,43 +395,3 @@
             self._callers.close_timed_out(now_s)
             self._readiness.close_timed_out(now_s)
             self._view.expire_lapsed()
-
-    async def _hand_over_jobs(self, until_s: float) -> None:
-        """Hand over all jobs to other entries; jobs that none accepts keep running.
-
-        In a rolling restart of all entries, the entries that stopped earlier are back
-        within the time that callers need to notice that this entry leaves.
-        """
-        loop = asyncio.get_running_loop()
-        self._owner.disable()
-        is_complete = await self._peers.hand_over_jobs()
-        if is_complete:
-            return
-        self._owner.resume()
-        while not is_complete and loop.time() < until_s:
-            await asyncio.sleep(_HAND_OVER_RETRY_S)
-            is_complete = await self._peers.hand_over_jobs()
-        if not is_complete:
-            self._log.info("jobs-kept", jobs=list(self._owner.runs))
-
-    async def _shut_down(self) -> None:
-        """Refuse new work, answer the requests in progress, then return."""
-        loop = asyncio.get_running_loop()
-        begun_s = loop.time()
-        self._log.info("stopping", program="entry", busy=self._callers.busy_count)
-        self._callers.is_leaving = True
-        limit_s = begun_s + self._settings.grace_s * _GRACE_FRACTION
-        await asyncio.gather(
-            self._hand_over_jobs(begun_s + _ROTATION_EXIT_S),
-            self._fallback_orders.release_all(),
-        )
-        await self._members.remove_entry(self._settings.node)
-        await asyncio.sleep(max(0.0, begun_s + _ROTATION_EXIT_S - loop.time()))
-        self._callers.stop_listening()
-        self._callers.close_idle()
-        while self._callers.connections and loop.time() < limit_s:
-            await asyncio.sleep(0.05)
-            self._callers.close_idle()
-        self._log.info(
-            "stopped", program="entry", cut_off=len(self._callers.connections)
-        )
--- a/pistachioglade/serving/_ingress.py
+++ b/pistachioglade/serving/_ingress.py
@@ -72,6 +72,7 @@
                     asyncio.get_running_loop().time() - request.received_s, 4
                 ),
             )
+            self._metrics.record_refusal(answer.kind.value)
             answer = refusal_response(answer)
         reply.send(answer)
         took_s = asyncio.get_running_loop().time() - request.received_s
--- a/pistachioglade/serving/_members.py
+++ b/pistachioglade/serving/_members.py
@@ -44,6 +44,8 @@
     address: str
     # Capacity for running samples, in processor cores.
     capacity: float
+    # Failure domain; empty in the listings of builds that name none.
+    domain: str = ""
 
 
 def decode_listing(value: Any) -> Listing | Refusal:
@@ -54,7 +56,8 @@
     if not isinstance(address, str) or not address or not is_number:
         return refuse(ErrorKind.UNREADABLE, "a listing without address or capacity")
     assert isinstance(capacity, int | float)
-    return Listing(address, float(capacity))
+    domain = fields.get("domain")
+    return Listing(address, float(capacity), domain if isinstance(domain, str) else "")
 
 
 class Members:
@@ -69,13 +72,19 @@
         store: StoreClient,
         view: FleetView,
         policy: Policy = FULL_POLICY,
+        domain: str = "",
     ) -> None:
         self._uses_common_owner = policy.uses(Mechanism.ONE_HOME)
         # Node name of this entry.
         self.node = node
         # Name of this entry as an owner of jobs: node name and link address.
         self.own_name = f"{node}@{address}"
-        self._own_value = {"address": address, "boot": boot, "capacity": capacity}
+        self._own_value = {
+            "address": address,
+            "boot": boot,
+            "capacity": capacity,
+            "domain": domain,
+        }
         self._store = store
         self._view = view
         self._log = logger(__name__)
@@ -146,6 +155,11 @@
         """The node names of all listed entries."""
         return tuple(self._listings)
 
+    @property
+    def domains(self) -> dict[str, str]:
+        """The failure domain of each listed entry, by node name."""
+        return {name: listing.domain for name, listing in self._listings.items()}
+
     @property
     def owner_names(self) -> set[str]:
         """The listed entries' names as owners of jobs."""
--- /dev/null
+++ b/pistachioglade/serving/_usage_duty.py
@@ -0,0 +1,106 @@
+"""Builds what an entry needs to count and report usage."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from ..decisions import ReportTerms
+from ..http1 import Pool
+from ..leases import DUTY_LEASE_KIND, Lease, LeaseTerms
+from ..links import LinkPool
+from ..messages import AskDuty, FetchUsage, UsageCounted, UsageReported
+from ..metrics import Metrics
+from ..platform import ProcessSettings
+from ..store import StoreClient
+from ..usage import (
+    Clock,
+    UsageCollector,
+    UsageCopies,
+    UsageCounters,
+    UsageMeter,
+    UsageReporter,
+)
+from ._entry_messages import EntryMessages
+from ._members import Members
+
+#: Name of the duty's lease.
+_LEASE_NAME: Final = "usage"
+
+
+class UsageDuty:
+    """The usage reports of one entry; only the meter if the platform wants none."""
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        boot: str,
+        members: Members,
+        store: StoreClient,
+        links: LinkPool,
+        metrics: Metrics,
+    ) -> None:
+        clock = Clock()
+        counters = UsageCounters(f"{settings.node}#{boot}")
+        usage = settings.usage
+        terms = _report_terms(settings)
+        # Counts the requests that instances begin.
+        self.meter = UsageMeter(counters, clock, terms)
+        self._copies = UsageCopies(members, links, counters)
+        self._reporter: UsageReporter | None = None
+        if usage is None or terms is None:
+            return
+        self._collector = UsageCollector(members, links, counters, clock, terms)
+        lease = Lease(
+            store, _lease_terms(settings), settings.node, boot, self._is_holder_active
+        )
+        self._reporter = UsageReporter(
+            members,
+            links,
+            Pool(usage.api.host, usage.api.port),
+            lease,
+            terms,
+            self._collector,
+            counters,
+            clock,
+            metrics,
+        )
+
+    async def _is_holder_active(self, node: str) -> bool:
+        assert self._reporter is not None
+        return await self._reporter.is_active(node)
+
+    def register_messages(self, messages: EntryMessages) -> None:
+        """Register the answers to the messages about usage."""
+        if self._reporter is None:
+            return
+        messages.register(UsageCounted, self._copies.answer)
+        messages.register(FetchUsage, self._collector.answer)
+        messages.register(UsageReported, self._reporter.record_reported)
+        messages.register(AskDuty, self._reporter.answer_duty)
+
+    def tasks(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return the background tasks by name."""
+        if self._reporter is None:
+            return {}
+        return {"usage-copies": self._copies.run, "usage-reports": self._reporter.run}
+
+    async def stop(self) -> None:
+        """Leave the duty to another entry, before a planned stop."""
+        if self._reporter is not None:
+            await self._reporter.stop()
+
+
+def _report_terms(settings: ProcessSettings) -> ReportTerms | None:
+    usage = settings.usage
+    return None if usage is None else ReportTerms(usage.window_s, usage.delay_s)
+
+
+def _lease_terms(settings: ProcessSettings) -> LeaseTerms:
+    return LeaseTerms(
+        DUTY_LEASE_KIND,
+        _LEASE_NAME,
+        settings.lease_s,
+        settings.checks_fences,
+        may_call_at_once=True,
+    )
