--- a/pistachioglade/leases/_lease.py
+++ b/pistachioglade/leases/_lease.py
@@ -69,6 +69,16 @@
     )
 
 
+@attrs.frozen
+class HolderStatus:
+    """What the holder of a lease says of itself."""
+
+    # Whether it goes on using the lease.
+    is_active: bool
+    # Seconds since its last call, if it makes no more calls; None if unknown.
+    idle_s: float | None = None
+
+
 @attrs.frozen
 class LeaseTerms:
     """What is leased, and the rules for a change of its holder."""
@@ -104,10 +114,10 @@
         terms: LeaseTerms,
         node: str,
         boot: str,
-        is_holder_active: Callable[[str], Awaitable[bool]] | None = None,
+        ask_holder: Callable[[str], Awaitable[HolderStatus]] | None = None,
     ) -> None:
         # Asks another holder whether it still uses the lease.
-        self._is_holder_active = is_holder_active
+        self._ask_holder = ask_holder
         self._store = store
         self._terms = terms
         self._node = node
@@ -125,6 +135,8 @@
         self._first_call_s = float("-inf")
         # Monotonic time of the last call that may have been made, in seconds.
         self._last_call_s = float("-inf")
+        # Monotonic time at which the lease was taken from another holder, in seconds.
+        self._taken_s = float("-inf")
         # Monotonic time before which an earlier process of this node may have called.
         self._started_s = self._now_s()
 
@@ -166,7 +178,9 @@
         """Release the lease, which shortens the wait of the next holder."""
         if self._revision is None:
             return
-        idle_s = min(self._now_s() - self._last_call_s, _MAX_IDLE_S)
+        # The holder before may have called just before the lease was taken from it.
+        last_call_s = max(self._last_call_s, self._taken_s)
+        idle_s = min(self._now_s() - last_call_s, _MAX_IDLE_S)
         value = self._value() | {"released_idle_s": idle_s}
         revision, self._revision = self._revision, None
         released = await self._store.replace(
@@ -211,14 +225,13 @@
         ):
             reason = f"{record.holder} beside the engine holds its lease"
             return refuse(ErrorKind.FENCED, reason, self._terms.lease_s)
-        is_live = record.released_idle_s is None and self._is_holder_active is not None
-        if (
-            is_live
-            and self._is_holder_active
-            and await self._is_holder_active(record.holder)
-        ):
-            return refuse(ErrorKind.CONFLICT, f"{record.holder} uses the lease")
+        if record.released_idle_s is None and self._ask_holder is not None:
+            status = await self._ask_holder(record.holder)
+            if status.is_active:
+                return refuse(ErrorKind.CONFLICT, f"{record.holder} uses the lease")
+            record = attrs.evolve(record, released_idle_s=status.idle_s)
         self._previous_holder = record.holder
+        self._taken_s = self._now_s()
         self.payload = record.payload
         taken = await self._store.replace(
             self._terms.kind, self._terms.name, self._value(), held.revision
--- a/pistachioglade/messages/_usage.py
+++ b/pistachioglade/messages/_usage.py
@@ -58,5 +58,7 @@
 class DutyAnswer:
     """Whether an entry performs its duty."""
 
-    # Whether the entry holds the duty and has not given up on it.
+    # Whether the entry has not left the duty to others.
     is_active: bool
+    # Seconds since its last call to the platform, if it has left the duty.
+    idle_s: float | None
--- a/pistachioglade/serving/_usage_duty.py
+++ b/pistachioglade/serving/_usage_duty.py
@@ -7,7 +7,7 @@
 
 from ..decisions import ReportTerms
 from ..http1 import Pool
-from ..leases import DUTY_LEASE_KIND, Lease, LeaseTerms
+from ..leases import DUTY_LEASE_KIND, HolderStatus, Lease, LeaseTerms
 from ..links import LinkPool
 from ..messages import AskDuty, FetchUsage, UsageCounted, UsageReported
 from ..metrics import Metrics
@@ -52,7 +52,7 @@
             return
         self._collector = UsageCollector(members, links, counters, clock, terms)
         lease = Lease(
-            store, _lease_terms(settings), settings.node, boot, self._is_holder_active
+            store, _lease_terms(settings), settings.node, boot, self._ask_holder
         )
         self._reporter = UsageReporter(
             members,
@@ -66,9 +66,9 @@
             metrics,
         )
 
-    async def _is_holder_active(self, node: str) -> bool:
+    async def _ask_holder(self, node: str) -> HolderStatus:
         assert self._reporter is not None
-        return await self._reporter.is_active(node)
+        return await self._reporter.ask_holder(node)
 
     def register_messages(self, messages: EntryMessages) -> None:
         """Register the answers to the messages about usage."""
--- a/pistachioglade/usage/_reporter.py
+++ b/pistachioglade/usage/_reporter.py
@@ -9,7 +9,7 @@
 from ..decisions import ReportTerms, duty_order
 from ..errors import ErrorKind, Refusal, refuse
 from ..http1 import Pool, Response
-from ..leases import Lease
+from ..leases import HolderStatus, Lease
 from ..links import LinkPool
 from ..logs import logger
 from ..messages import Acknowledged, AskDuty, DutyAnswer, UsageReported
@@ -59,12 +59,17 @@
         self._clock = clock
         self._metrics = metrics
         self._log = logger(__name__)
-        # First window that isn't known to be reported.
-        self._next_window = terms.window_at(clock.now_s())
+        # First window that isn't known to be reported. An earlier process may have left
+        # windows that are not due yet.
+        self._next_window = terms.window_at(clock.now_s() - terms.delay_s)
         # Entry that reported last; empty before the first report.
         self._last_holder = ""
+        # Whether this entry has the lease, or may still have it after a lost answer.
+        self._is_holder = False
         # Time of day until which this entry leaves the duty to others, in seconds.
         self._resting_until_s = float("-inf")
+        # Time of day of the last call to the platform, or of the start, in seconds.
+        self._last_call_s = clock.now_s()
         # Time of day of the first of the failures in a row; None after a success.
         self._failing_since_s: float | None = None
 
@@ -95,7 +100,12 @@
                 await self._handle_failure(window, refusal)
 
     def _rank(self) -> int | None:
-        """Return this entry's position for the duty; None if it leaves it to others."""
+        """Return this entry's position for the duty; None if it leaves it to others.
+
+        The holder of the lease is first, since the others wait for it.
+        """
+        if self._is_holder:
+            return 0
         resting = {self._entries.node} if self._is_resting else ()
         order = duty_order(self._entries.names, self._last_holder, resting)
         return order.index(self._entries.node) if self._entries.node in order else None
@@ -103,7 +113,7 @@
     async def _prepare(self, rank: int) -> None:
         """Take the lease before it is needed, if its last holder has left the list."""
         if rank == 0 and self._last_holder not in (self._entries.node, ""):
-            await self._lease.acquire()
+            self._is_holder = await self._lease.acquire() is None
 
     def _is_overdue(self, window: int) -> bool:
         overdue_s = self._clock.now_s() - self._terms.due_s(window)
@@ -113,7 +123,9 @@
         """Report a window; return why that failed, or None."""
         refusal = await self._lease.acquire()
         if refusal is not None:
+            self._is_holder &= refusal.kind is not ErrorKind.CONFLICT
             return refusal
+        self._is_holder = True
         ledger = self._read_ledger()
         entry = ledger.entries.get(window)
         if entry is None:
@@ -166,7 +178,10 @@
     async def _send(self, window: int, counts: Mapping[str, int]) -> Refusal | None:
         token = await self._lease.obtain_token()
         if isinstance(token, Refusal):
+            if token.kind is ErrorKind.CONFLICT:
+                self._rest(self._terms.window_s)
             return token
+        self._last_call_s = self._clock.now_s()
         call = usage_call(window, counts, self._entries.node, token)
         fields = (("Host", f"{self._api.host}:{self._api.port}"), *call.fields)
         answer: Response | Refusal
@@ -186,8 +201,18 @@
         )
         if refusal is not None and refusal.kind is ErrorKind.FENCED:
             self._lease.mark_lost()
+            self._rest(self._terms.window_s)
         return refusal
 
+    def _rest(self, duration_s: float) -> None:
+        """Leave the duty to others for a while.
+
+        An entry that has just lost the lease may be cut off from the new holder, and
+        would take the lease back while the new holder waits for its first call.
+        """
+        self._resting_until_s = self._clock.now_s() + duration_s
+        self._is_holder = False
+
     async def _handle_failure(self, window: int, refusal: Refusal) -> None:
         """Pause after a failed report; leave the duty to another entry at length."""
         now_s = self._clock.now_s()
@@ -200,12 +225,14 @@
         if refusal.kind is ErrorKind.BAD_REQUEST:
             self._finish(window, "refused")
             return
-        is_other_holder = refusal.kind is ErrorKind.CONFLICT
-        if self._failing_since_s is None or is_other_holder:
+        # Another holder, and the wait of a new holder for its first call, are not
+        # failures: leaving the duty would only start the next entry's wait.
+        is_turn = refusal.kind in (ErrorKind.CONFLICT, ErrorKind.FENCED)
+        if self._failing_since_s is None or is_turn:
             self._failing_since_s = now_s
         if now_s - self._failing_since_s > self._terms.give_up_after_s:
             self._failing_since_s = None
-            self._resting_until_s = now_s + _REST_WINDOWS * self._terms.window_s
+            self._rest(_REST_WINDOWS * self._terms.window_s)
             self._log.warning("duty-left", window=window, reason=refusal.reason)
             await self._lease.release()
             return
@@ -241,15 +268,19 @@
 
     def answer_duty(self, message: AskDuty) -> DutyAnswer:
         """Answer an entry that would take the duty over."""
-        return DutyAnswer(not self._is_resting)
+        idle_s = self._clock.now_s() - self._last_call_s
+        is_active = self._is_holder and not self._is_resting
+        return DutyAnswer(is_active, idle_s if self._is_resting else None)
 
-    async def is_active(self, node: str) -> bool:
-        """Return whether another entry performs the duty."""
+    async def ask_holder(self, node: str) -> HolderStatus:
+        """Ask another entry whether it performs the duty."""
         address = self._entries.address_of_node(node)
         if not address:
-            return False
+            return HolderStatus(is_active=False)
         answer = await self._links.call(address, AskDuty(), _LINK_TIMEOUT_S)
-        return isinstance(answer, DutyAnswer) and answer.is_active
+        if not isinstance(answer, DutyAnswer):
+            return HolderStatus(is_active=False)
+        return HolderStatus(answer.is_active, answer.idle_s)
 
     async def stop(self) -> None:
         """Leave the duty to another entry, before a planned stop."""
--- a/pistachioglade/weights/_unattended.py
+++ b/pistachioglade/weights/_unattended.py
@@ -20,7 +20,7 @@
 from ..fleet import Instance
 from ..forwarding import FleetView
 from ..http1 import Pool
-from ..leases import ENGINE_LEASE_KIND, Lease, LeaseTerms
+from ..leases import ENGINE_LEASE_KIND, HolderStatus, Lease, LeaseTerms
 from ..logs import logger
 from ..messages import Acknowledged, EngineUnattended
 from ..store import StoreClient
@@ -125,7 +125,7 @@
             LeaseTerms(ENGINE_LEASE_KIND, address, self._lease_s, self._checks_fences),
             self._node,
             self._boot,
-            partial(self._assign_to_holder, instance.id),
+            partial(self._ask_holder, instance.id),
         )
         pool = Pool(instance.host, instance.port)
         rank = partial(self._find_rank, instance.upstream, address)
@@ -134,6 +134,9 @@
         )
         return _Engine(instance, orders, lease, pool)
 
+    async def _ask_holder(self, instance_id: str, holder: str) -> HolderStatus:
+        return HolderStatus(await self._assign_to_holder(instance_id, holder))
+
     async def _assign_to_holder(self, instance_id: str, holder: str) -> bool:
         """Assign an engine to its lease's holder; return whether the holder accepts."""
         engine = self._engines.get(instance_id)
--- a/pistachioglade/weights/tests/test_turns.py
+++ b/pistachioglade/weights/tests/test_turns.py
@@ -17,10 +17,10 @@
 import attrs
 import pytest
 
-from ...errors import ErrorKind, Refusal, refuse
 from ...http1 import Response
-from ...leases import ENGINE_LEASE_KIND, Lease, LeaseTerms
-from ...platform import Entry, names
+from ...leases import ENGINE_LEASE_KIND, HolderStatus, Lease, LeaseTerms
+from ...platform import names
+from ...store.tests.conditional import ConditionalStore
 from ...store.tests.scripted import now_s, run_virtual, until
 from .. import EngineOrders, OrderStep, Progress
 
@@ -31,41 +31,6 @@
 DURATION_S = 40.0
 
 
-class Store:
-    """In-memory store with conditional writes, whose answers may be lost."""
-
-    def __init__(self) -> None:
-        self._entries: dict[str, Entry] = {}
-        self._revisions = count(1)
-        self.calls = 0
-        # Number of following writes that take effect but whose answers are lost.
-        self.lost_answers = 0
-
-    async def _answer(self, entry: Entry) -> Entry | Refusal:
-        await asyncio.sleep(0.004)
-        if self.lost_answers > 0:
-            self.lost_answers -= 1
-            await asyncio.sleep(1.0)
-            return refuse(ErrorKind.PLATFORM_UNCERTAIN, "lost")
-        return entry
-
-    async def create(
-        self, kind: str, name: str, value: Any, within_s: float
-    ) -> Entry | Refusal:
-        self.calls += 1
-        created = Entry(name, next(self._revisions), value, None)
-        return await self._answer(self._entries.setdefault(name, created))
-
-    async def replace(
-        self, kind: str, name: str, value: Any, revision: int | None
-    ) -> Entry | Refusal:
-        self.calls += 1
-        if self._entries[name].revision != revision:
-            return refuse(ErrorKind.CONFLICT, "another revision")
-        self._entries[name] = Entry(name, next(self._revisions), value, None)
-        return await self._answer(self._entries[name])
-
-
 @attrs.frozen
 class Order:
     """An order that an engine has accepted."""
@@ -128,12 +93,12 @@
         self,
         node: str,
         engine: Engine,
-        store: Store,
+        store: ConditionalStore,
         is_beside: bool,
         checks: bool,
-        is_holder_active: Callable[[str], Awaitable[bool]] | None = None,
+        ask_holder: Callable[[str], Awaitable[HolderStatus]] | None = None,
     ) -> None:
-        self._is_holder_active = is_holder_active
+        self._ask_holder = ask_holder
         self._node = node
         self._engine = engine
         self._store = store
@@ -153,7 +118,7 @@
             terms,
             self._node,
             f"boot-{next(self._boots)}",
-            self._is_holder_active,
+            self._ask_holder,
         )
         self._orders = EngineOrders(
             self._engine,  # type: ignore[arg-type]
@@ -199,7 +164,7 @@
 
 def test_an_engine_without_a_process_beside_it_gets_its_weights() -> None:
     async def work() -> None:
-        engine, store = Engine(True), Store()
+        engine, store = Engine(True), ConditionalStore()
         entry = Holder("entry", engine, store, is_beside=False, checks=True)
         await _finish([asyncio.create_task(entry.run())])
         assert engine.version >= DURATION_S / VERSION_INTERVAL_S
@@ -210,7 +175,7 @@
 
 def test_the_process_beside_an_engine_calls_the_store_once() -> None:
     async def work() -> None:
-        engine, store = Engine(True), Store()
+        engine, store = Engine(True), ConditionalStore()
         beside = Holder("beside", engine, store, is_beside=True, checks=True)
         await _finish([asyncio.create_task(beside.run())])
         assert engine.version >= DURATION_S / VERSION_INTERVAL_S
@@ -236,7 +201,7 @@
     """The process beside the engine is killed or frozen, and returns later."""
 
     async def simulate(stopped_s: float, back_s: float) -> None:
-        engine, store = Engine(checks), Store()
+        engine, store = Engine(checks), ConditionalStore()
         beside = Holder("beside", engine, store, is_beside=True, checks=checks)
         entry = Holder("entry", engine, store, is_beside=False, checks=checks)
         entry.is_running = False
@@ -267,7 +232,7 @@
     """Two entries with different lists order one engine; the lease decides."""
 
     async def simulate(begin_s: float, both_s: float) -> None:
-        engine, store = Engine(False), Store()
+        engine, store = Engine(False), ConditionalStore()
         first = Holder("first", engine, store, is_beside=False, checks=False)
         second = Holder("second", engine, store, is_beside=False, checks=False)
         second.is_running = False
@@ -290,7 +255,7 @@
     """Nothing would stop a resumed holder, so no other process takes its lease."""
 
     async def work() -> None:
-        engine, store = Engine(False), Store()
+        engine, store = Engine(False), ConditionalStore()
         beside = Holder("beside", engine, store, is_beside=True, checks=False)
         entry = Holder("entry", engine, store, is_beside=False, checks=False)
         entry.is_running = False
@@ -310,7 +275,7 @@
     """Guards against a wait of 5 s for each entry in a rolling stop of entries."""
 
     async def simulate(begin_s: float) -> None:
-        engine, store = Engine(False), Store()
+        engine, store = Engine(False), ConditionalStore()
         first = Holder("first", engine, store, is_beside=False, checks=False)
         second = Holder("second", engine, store, is_beside=False, checks=False)
         second.is_running = False
@@ -341,15 +306,15 @@
     """
 
     async def work() -> None:
-        engine, store = Engine(True), Store()
+        engine, store = Engine(True), ConditionalStore()
         first = Holder("first", engine, store, is_beside=False, checks=True)
         asked: list[str] = []
 
-        async def is_holder_active(holder: str) -> bool:
+        async def ask_holder(holder: str) -> HolderStatus:
             asked.append(holder)
-            return is_alive
+            return HolderStatus(is_alive)
 
-        second = Holder("second", engine, store, False, True, is_holder_active)
+        second = Holder("second", engine, store, False, True, ask_holder)
         second.is_running = False
         tasks = [asyncio.create_task(item.run()) for item in (first, second)]
         await until(10.0)
@@ -367,7 +332,7 @@
     """Guards against a wait of 5 s for weights after all processes restarted."""
 
     async def work() -> None:
-        engine, store = Engine(True), Store()
+        engine, store = Engine(True), ConditionalStore()
         first = Holder("first", engine, store, is_beside=False, checks=True)
         second = Holder("second", engine, store, is_beside=False, checks=True)
         second.is_running = False
