--- a/pistachioglade/backing/_root_store.py
+++ b/pistachioglade/backing/_root_store.py
@@ -40,7 +40,15 @@
 class RootStore:
     """Reads and conditionally replaces the root."""
 
-    def __init__(self, api: ObjectApi, writer: str) -> None:
+    def __init__(
+        self,
+        api: ObjectApi,
+        writer: str,
+        now_s: Callable[[], float] = time.monotonic,
+        sleep: Callable[[float], None] = time.sleep,
+    ) -> None:
+        self._now_s = now_s
+        self._sleep = sleep
         self._api = api
         self._writer = writer
         self._sequence = count(1)
@@ -83,26 +91,26 @@
 
     def _write_part(self, digest: str, text: str) -> Refusal | None:
         """Write one part; repeat the write after a lost answer, which is idempotent."""
-        deadline_s = time.monotonic() + _SETTLE_S
+        deadline_s = self._now_s() + _SETTLE_S
         while True:
             result = self._api.put(f"parts/{digest}", {"text": text}, 0)
             if not isinstance(result, Refusal) or result.kind is ErrorKind.CONFLICT:
                 return None
             is_lost = result.kind is ErrorKind.PLATFORM_UNCERTAIN
-            if not is_lost or time.monotonic() > deadline_s:
+            if not is_lost or self._now_s() > deadline_s:
                 return refuse(ErrorKind.PLATFORM_UNAVAILABLE, result.reason)
 
     def commit(self, change: RootChange) -> RootState | Refusal:
         """Replace the root; a PLATFORM_UNCERTAIN refusal means an unknown outcome."""
-        deadline_s = time.monotonic() + _SETTLE_S
+        deadline_s = self._now_s() + _SETTLE_S
         tag = f"{self._writer}:{next(self._sequence)}"
         maybe_written = False
-        while time.monotonic() < deadline_s:
+        while self._now_s() < deadline_s:
             found = self._read()
             if isinstance(found, Refusal):
                 if not maybe_written:
                     return found
-                time.sleep(_RETRY_PAUSE_S)
+                self._sleep(_RETRY_PAUSE_S)
                 continue
             earlier = _generation_of(found.root, tag)
             if earlier is not None:
@@ -116,7 +124,7 @@
             if result.kind is ErrorKind.PLATFORM_UNAVAILABLE and not maybe_written:
                 return result
             maybe_written |= result.kind is ErrorKind.PLATFORM_UNCERTAIN
-            time.sleep(_RETRY_PAUSE_S)
+            self._sleep(_RETRY_PAUSE_S)
         return refuse(ErrorKind.PLATFORM_UNCERTAIN, "the write could not be settled")
 
     def _swap(
--- a/pistachioglade/backing/tests/test_root_store.py
+++ b/pistachioglade/backing/tests/test_root_store.py
@@ -58,6 +58,19 @@
         self.objects[path] = (version + 1, changed)
 
 
+class _VirtualClock:
+    """Advances by each sleep alone, however long the process is halted."""
+
+    def __init__(self) -> None:
+        self._now_s = 0.0
+
+    def now_s(self) -> float:
+        return self._now_s
+
+    def sleep(self, duration_s: float) -> None:
+        self._now_s += duration_s
+
+
 _STEPS = st.lists(
     st.sampled_from(
         ["ok", "rival", "lost-before", "lost-after", "lost-after-then-rival"]
@@ -70,7 +83,8 @@
 @given(_STEPS)
 def test_a_change_takes_effect_once(script: list[str]) -> None:
     api = FakeApi(script)
-    store = RootStore(api, "writer")  # type: ignore[arg-type]
+    clock = _VirtualClock()
+    store = RootStore(api, "writer", clock.now_s, clock.sleep)  # type: ignore[arg-type]
     calls = []
 
     def change(root: RootState) -> RootState:
--- a/pistachioglade/jobs/tests/test_reader.py
+++ b/pistachioglade/jobs/tests/test_reader.py
@@ -14,7 +14,9 @@
 from ...messages import BatchRecord, ResultPage
 from ...platform import Entry
 from ...store import StoreClient
+from ...store.tests.scripted import run_virtual
 from ...store.tests.served import eventually, run, served_store
+from ...store.tests.virtual import VirtualStore
 from .. import (
     RESULT_KIND,
     JobLedger,
@@ -58,7 +60,19 @@
 
 
 def test_results_of_an_owner_that_is_gone_come_from_the_store() -> None:
-    assert _read("other@127.0.0.1:9", lambda _job: False) == ('"r1"',)
+    async def work() -> tuple[str, ...] | Refusal:
+        client = VirtualStore().client()
+        ledger = await _ledger(client, "other@127.0.0.1:9")
+        links = LinkPool(Identity("me", ""))
+
+        async def call(address: str, message: object, timeout_s: float) -> Refusal:
+            return refuse(ErrorKind.LINK_REFUSED, "nobody listens")
+
+        links.call = call  # type: ignore[method-assign]
+        reader = JobReader("me@h:1", ledger, client, links, lambda _job: False)
+        return await reader.page(ledger.jobs["job"], 1, 0.01)
+
+    assert run_virtual(work) == ('"r1"',)
 
 
 @pytest.mark.parametrize(
--- a/pistachioglade/jobs/tests/test_text_saver.py
+++ b/pistachioglade/jobs/tests/test_text_saver.py
@@ -13,7 +13,9 @@
 
 from ...decisions import MIN_CHECKPOINT_EVENTS
 from ...messages import SampleTexts, TextRecord, structure, unstructure
+from ...store.tests.scripted import run_virtual
 from ...store.tests.served import eventually, run, served_store
+from ...store.tests.virtual import VirtualStore
 from .. import _text_saver
 from .._records import TEXT_KIND
 from .._text_saver import TextSaver, choose_texts, read_saved_texts
@@ -137,24 +139,23 @@
     pauses: list[float] = []
 
     async def work() -> None:
-        async with served_store() as store:
-            client = store.client()
-            results = iter([None, None, {"a": SampleTexts((_text("a1", 40),))}])
-            saver = TextSaver(client, "node", lambda: next(results))
-
-            async def record_pause(pause_s: float) -> None:
-                pauses.append(pause_s)
-
-            clock = SimpleNamespace(
-                sleep=record_pause, get_running_loop=asyncio.get_running_loop
-            )
-            with (
-                mock.patch.object(_text_saver, "asyncio", clock),
-                pytest.raises(RuntimeError),
-            ):
-                await saver.run()
-            assert len((await read_saved_texts(client, "node", "a")).texts) == 1
-
-    run(work)
+        client = VirtualStore().client()
+        results = iter([None, None, {"a": SampleTexts((_text("a1", 40),))}])
+        saver = TextSaver(client, "node", lambda: next(results))
+
+        async def record_pause(pause_s: float) -> None:
+            pauses.append(pause_s)
+
+        clock = SimpleNamespace(
+            sleep=record_pause, get_running_loop=asyncio.get_running_loop
+        )
+        with (
+            mock.patch.object(_text_saver, "asyncio", clock),
+            pytest.raises(RuntimeError),
+        ):
+            await saver.run()
+        assert len((await read_saved_texts(client, "node", "a")).texts) == 1
+
+    run_virtual(work)
     # The interval, two checks while the job starts, and the interval after the save.
     assert [pause_s >= 0.4 for pause_s in pauses] == [True, False, False, True]
--- a/pistachioglade/serving/tests/test_peers.py
+++ b/pistachioglade/serving/tests/test_peers.py
@@ -24,7 +24,9 @@
 from ...platform import Entry, names
 from ...quarantine import CrashLedger
 from ...store import StoreClient
+from ...store.tests.scripted import run_virtual
 from ...store.tests.served import run, served_store
+from ...store.tests.virtual import VirtualStore
 from .._entry_messages import EntryMessages
 from .._members import ENTRY_KIND, Members
 from .._neighbour import NeighbourWatch
@@ -164,21 +166,20 @@
     """
 
     async def work() -> None:
-        async with served_store() as store:
-            links = _unreachable_links()
+        links = _unreachable_links()
 
-            async def call(address: str, message: Any, timeout_s: float) -> Any:
-                is_asked = isinstance(message, AskHome) and address == "h:3"
-                return answer if is_asked else refuse(ErrorKind.LINK_NOT_OPEN, "nobody")
+        async def call(address: str, message: Any, timeout_s: float) -> Any:
+            is_asked = isinstance(message, AskHome) and address == "h:3"
+            return answer if is_asked else refuse(ErrorKind.LINK_NOT_OPEN, "nobody")
 
-            links.call = call  # type: ignore[method-assign]
-            scene = _scene(store.client(), links)
-            _put_route(scene.view)
-            _list(scene.members, other=2.0, big=2.0, me=0.4)
-            await scene.peers.reassign_jobs("other", is_alive=False)
-            assert scene.ledger.jobs["job"].owner == owner
+        links.call = call  # type: ignore[method-assign]
+        scene = _scene(VirtualStore().client(), links)
+        _put_route(scene.view)
+        _list(scene.members, other=2.0, big=2.0, me=0.4)
+        await scene.peers.reassign_jobs("other", is_alive=False)
+        assert scene.ledger.jobs["job"].owner == owner
 
-    run(work)
+    run_virtual(work)
 
 
 def test_an_entry_cut_off_from_the_store_refuses_jobs() -> None:
