One type for a duty's turns, for usage reports and whatever follows

Cause: turns, rests and questions to a holder were part of the usage reporter. Change: leases/_duty.py has them; the reporter keeps windows, counts and the ledger.

--- a/pistachioglade/decisions/_usage_reports.py
+++ b/pistachioglade/decisions/_usage_reports.py
@@ -74,15 +74,18 @@
 
 
 def duty_order(
-    entries: Iterable[str], last_holder: str, resting: Collection[str] = ()
+    duty: str,
+    entries: Iterable[str],
+    last_holder: str,
+    resting: Collection[str] = (),
 ) -> Sequence[str]:
-    """Return the entries that may report, in the order in which they take over.
+    """Return the entries that may perform a duty, in the order in which they take over.
 
     The last holder goes first, so that an entry that comes back doesn't take the duty
     from it. Entries that have just given up on the duty are left out.
     """
     able = [name for name in entries if name not in resting]
-    order = rendezvous_order("usage", able)
+    order = rendezvous_order(duty, able)
     order.sort(key=lambda name: name != last_holder)
     return order[:MAX_DUTY_RANKS]
 
--- a/pistachioglade/decisions/tests/test_usage_reports.py
+++ b/pistachioglade/decisions/tests/test_usage_reports.py
@@ -28,14 +28,14 @@
 
 
 def test_the_last_holder_goes_first_while_it_is_listed() -> None:
-    first = duty_order(_ENTRIES, "")
+    first = duty_order("d", _ENTRIES, "")
     assert len(first) == MAX_DUTY_RANKS
-    assert duty_order(reversed(_ENTRIES), "") == first
+    assert duty_order("d", reversed(_ENTRIES), "") == first
     holder = first[2]
-    assert duty_order(_ENTRIES, holder)[0] == holder
+    assert duty_order("d", _ENTRIES, holder)[0] == holder
     listed = [name for name in _ENTRIES if name != holder]
-    assert duty_order(listed, holder)[0] == first[0]
-    assert holder not in duty_order(_ENTRIES, holder, resting={holder})
+    assert duty_order("d", listed, holder)[0] == first[0]
+    assert holder not in duty_order("d", _ENTRIES, holder, resting={holder})
 
 
 def test_a_copy_goes_to_another_failure_domain() -> None:
--- a/pistachioglade/leases/__init__.py
+++ b/pistachioglade/leases/__init__.py
@@ -1,5 +1,6 @@
 """Leases: which process may make certain calls, with a fencing token."""
 
+from ._duty import Duty, Entries
 from ._lease import (
     DUTY_LEASE_KIND,
     ENGINE_LEASE_KIND,
@@ -11,6 +12,8 @@
 __all__ = [
     "DUTY_LEASE_KIND",
     "ENGINE_LEASE_KIND",
+    "Duty",
+    "Entries",
     "HolderStatus",
     "Lease",
     "LeaseTerms",
--- a/pistachioglade/leases/_lease.py
+++ b/pistachioglade/leases/_lease.py
@@ -117,7 +117,7 @@
         ask_holder: Callable[[str], Awaitable[HolderStatus]] | None = None,
     ) -> None:
         # Asks another holder whether it still uses the lease.
-        self._ask_holder = ask_holder
+        self.ask_holder = ask_holder
         self._store = store
         self._terms = terms
         self._node = node
@@ -225,8 +225,8 @@
         ):
             reason = f"{record.holder} beside the engine holds its lease"
             return refuse(ErrorKind.FENCED, reason, self._terms.lease_s)
-        if record.released_idle_s is None and self._ask_holder is not None:
-            status = await self._ask_holder(record.holder)
+        if record.released_idle_s is None and self.ask_holder is not None:
+            status = await self.ask_holder(record.holder)
             if status.is_active:
                 return refuse(ErrorKind.CONFLICT, f"{record.holder} uses the lease")
             record = attrs.evolve(record, released_idle_s=status.idle_s)
--- a/pistachioglade/messages/_usage.py
+++ b/pistachioglade/messages/_usage.py
@@ -1,4 +1,4 @@
-"""Messages between entries about the usage that the platform is told of."""
+"""Messages between entries about duties towards the platform."""
 
 from __future__ import annotations
 
@@ -51,7 +51,10 @@
 
 @attrs.frozen
 class AskDuty:
-    """Ask an entry whether it performs its duty."""
+    """Ask an entry whether it performs a duty."""
+
+    # Name of the duty.
+    duty: str
 
 
 @attrs.frozen
--- a/pistachioglade/serving/_usage_duty.py
+++ b/pistachioglade/serving/_usage_duty.py
@@ -6,10 +6,11 @@
 from typing import Final
 
 from ..decisions import ReportTerms
+from ..errors import ErrorKind, Refusal, refuse
 from ..http1 import Pool
-from ..leases import DUTY_LEASE_KIND, HolderStatus, Lease, LeaseTerms
+from ..leases import DUTY_LEASE_KIND, Duty, Lease, LeaseTerms
 from ..links import LinkPool
-from ..messages import AskDuty, FetchUsage, UsageCounted, UsageReported
+from ..messages import AskDuty, DutyAnswer, FetchUsage, UsageCounted, UsageReported
 from ..metrics import Metrics
 from ..platform import ProcessSettings
 from ..store import StoreClient
@@ -24,8 +25,8 @@
 from ._entry_messages import EntryMessages
 from ._members import Members
 
-#: Name of the duty's lease.
-_LEASE_NAME: Final = "usage"
+#: Name of the duty and of its lease.
+_DUTY_NAME: Final = "usage"
 
 
 class UsageDuty:
@@ -51,14 +52,13 @@
         if usage is None or terms is None:
             return
         self._collector = UsageCollector(members, links, counters, clock, terms)
-        lease = Lease(
-            store, _lease_terms(settings), settings.node, boot, self._ask_holder
-        )
+        lease = Lease(store, _lease_terms(settings), settings.node, boot)
+        self._duty = Duty(_DUTY_NAME, members, links, lease)
         self._reporter = UsageReporter(
             members,
             links,
             Pool(usage.api.host, usage.api.port),
-            lease,
+            self._duty,
             terms,
             self._collector,
             counters,
@@ -66,10 +66,6 @@
             metrics,
         )
 
-    async def _ask_holder(self, node: str) -> HolderStatus:
-        assert self._reporter is not None
-        return await self._reporter.ask_holder(node)
-
     def register_messages(self, messages: EntryMessages) -> None:
         """Register the answers to the messages about usage."""
         if self._reporter is None:
@@ -77,7 +73,12 @@
         messages.register(UsageCounted, self._copies.answer)
         messages.register(FetchUsage, self._collector.answer)
         messages.register(UsageReported, self._reporter.record_reported)
-        messages.register(AskDuty, self._reporter.answer_duty)
+        messages.register(AskDuty, self._answer_duty)
+
+    def _answer_duty(self, message: AskDuty) -> DutyAnswer | Refusal:
+        if message.duty != self._duty.name:
+            return refuse(ErrorKind.NOT_FOUND, f"no duty {message.duty:.40}")
+        return self._duty.answer()
 
     def tasks(self) -> dict[str, Callable[[], Awaitable[None]]]:
         """Return the background tasks by name."""
@@ -99,7 +100,7 @@
 def _lease_terms(settings: ProcessSettings) -> LeaseTerms:
     return LeaseTerms(
         DUTY_LEASE_KIND,
-        _LEASE_NAME,
+        _DUTY_NAME,
         settings.lease_s,
         settings.checks_fences,
         may_call_at_once=True,
--- a/pistachioglade/usage/_collector.py
+++ b/pistachioglade/usage/_collector.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
-from typing import Final, Protocol
+from typing import Final
 
 import attrs
 
 from ..decisions import ReportTerms, clock_correction_s
+from ..leases import Entries
 from ..links import LinkPool
 from ..logs import logger
 from ..messages import FetchUsage, UsageKnown
@@ -23,24 +23,6 @@
 _MAX_CLOCK_ROUND_TRIP_S: Final = 0.1
 
 
-class Entries(Protocol):
-    """The list of entries, as far as usage reports need it."""
-
-    # Node name of this entry.
-    node: str
-
-    @property
-    def names(self) -> tuple[str, ...]:
-        """The node names of all listed entries."""
-
-    @property
-    def domains(self) -> Mapping[str, str]:
-        """The failure domain of each listed entry."""
-
-    def address_of_node(self, node: str) -> str:
-        """Return the address of an entry; empty if it isn't listed."""
-
-
 @attrs.frozen
 class _ClockDifference:
     """How far another entry's clock is ahead of this one's."""
--- a/pistachioglade/usage/_copies.py
+++ b/pistachioglade/usage/_copies.py
@@ -7,9 +7,9 @@
 
 from ..decisions import copy_holder
 from ..errors import Refusal
+from ..leases import Entries
 from ..links import LinkPool
 from ..messages import Acknowledged, UsageCounted
-from ._collector import Entries
 from ._counters import UsageCounters
 
 #: Time for which counts are gathered before they are copied. Counts that die with their
--- a/pistachioglade/usage/_reporter.py
+++ b/pistachioglade/usage/_reporter.py
@@ -6,17 +6,17 @@
 from collections.abc import Mapping
 from typing import Final
 
-from ..decisions import ReportTerms, duty_order
+from ..decisions import ReportTerms
 from ..errors import ErrorKind, Refusal, refuse
 from ..http1 import Pool, Response
-from ..leases import HolderStatus, Lease
+from ..leases import Duty, Entries
 from ..links import LinkPool
 from ..logs import logger
-from ..messages import Acknowledged, AskDuty, DutyAnswer, UsageReported
+from ..messages import Acknowledged, UsageReported
 from ..metrics import Metrics
 from ..platform import refusal_of_duty, usage_call
 from ._clock import Clock
-from ._collector import Entries, UsageCollector
+from ._collector import UsageCollector
 from ._counters import UsageCounters
 from ._ledger import LedgerEntry, ReportLedger, decode_ledger
 
@@ -42,7 +42,7 @@
         entries: Entries,
         links: LinkPool,
         api: Pool,
-        lease: Lease,
+        duty: Duty,
         terms: ReportTerms,
         collector: UsageCollector,
         counters: UsageCounters,
@@ -52,7 +52,7 @@
         self._entries = entries
         self._links = links
         self._api = api
-        self._lease = lease
+        self._duty = duty
         self._terms = terms
         self._collector = collector
         self._counters = counters
@@ -62,25 +62,13 @@
         # First window that isn't known to be reported. An earlier process may have left
         # windows that are not due yet.
         self._next_window = terms.window_at(clock.now_s() - terms.delay_s)
-        # Entry that reported last; empty before the first report.
-        self._last_holder = ""
-        # Whether this entry has the lease, or may still have it after a lost answer.
-        self._is_holder = False
-        # Time of day until which this entry leaves the duty to others, in seconds.
-        self._resting_until_s = float("-inf")
-        # Time of day of the last call to the platform, or of the start, in seconds.
-        self._last_call_s = clock.now_s()
         # Time of day of the first of the failures in a row; None after a success.
         self._failing_since_s: float | None = None
 
-    @property
-    def _is_resting(self) -> bool:
-        return self._clock.now_s() < self._resting_until_s
-
     async def run(self) -> None:
         """Report windows as they fall to this entry, until cancelled."""
         while True:
-            rank = self._rank()
+            rank = self._duty.rank
             if rank is None:
                 await asyncio.sleep(_MAX_SLEEP_S)
                 continue
@@ -99,21 +87,10 @@
             else:
                 await self._handle_failure(window, refusal)
 
-    def _rank(self) -> int | None:
-        """Return this entry's position for the duty; None if it leaves it to others.
-
-        The holder of the lease is first, since the others wait for it.
-        """
-        if self._is_holder:
-            return 0
-        resting = {self._entries.node} if self._is_resting else ()
-        order = duty_order(self._entries.names, self._last_holder, resting)
-        return order.index(self._entries.node) if self._entries.node in order else None
-
     async def _prepare(self, rank: int) -> None:
         """Take the lease before it is needed, if its last holder has left the list."""
-        if rank == 0 and self._last_holder not in (self._entries.node, ""):
-            self._is_holder = await self._lease.acquire() is None
+        if rank == 0 and self._duty.last_holder not in (self._entries.node, ""):
+            await self._duty.acquire()
 
     def _is_overdue(self, window: int) -> bool:
         overdue_s = self._clock.now_s() - self._terms.due_s(window)
@@ -121,23 +98,21 @@
 
     async def _report(self, window: int) -> Refusal | None:
         """Report a window; return why that failed, or None."""
-        refusal = await self._lease.acquire()
+        refusal = await self._duty.acquire()
         if refusal is not None:
-            self._is_holder &= refusal.kind is not ErrorKind.CONFLICT
             return refusal
-        self._is_holder = True
         ledger = self._read_ledger()
         entry = ledger.entries.get(window)
         if entry is None:
             entry = await self._count(window)
             ledger = ledger.with_entry(window, entry)
-            self._lease.payload = ledger.encode()
+            self._duty.payload = ledger.encode()
         if not entry.is_acknowledged:
             refusal = await self._send(window, entry.counts)
             if refusal is not None:
                 return refusal
-            self._lease.payload = ledger.acknowledged(window).encode()
-        self._last_holder = self._entries.node
+            self._duty.payload = ledger.acknowledged(window).encode()
+        self._duty.last_holder = self._entries.node
         self._finish(window, "late" if self._is_late(window) else "reported")
         await self._announce(window)
         return None
@@ -151,7 +126,7 @@
         With a ledger that can't be read, windows that may have been reported are never
         reported again.
         """
-        ledger = decode_ledger(self._lease.payload)
+        ledger = decode_ledger(self._duty.payload)
         if ledger is not None:
             return ledger
         self._log.error("usage-ledger-unreadable", window=self._next_window)
@@ -176,12 +151,9 @@
         return LedgerEntry(counts)
 
     async def _send(self, window: int, counts: Mapping[str, int]) -> Refusal | None:
-        token = await self._lease.obtain_token()
+        token = await self._duty.obtain_token(self._terms.window_s)
         if isinstance(token, Refusal):
-            if token.kind is ErrorKind.CONFLICT:
-                self._rest(self._terms.window_s)
             return token
-        self._last_call_s = self._clock.now_s()
         call = usage_call(window, counts, self._entries.node, token)
         fields = (("Host", f"{self._api.host}:{self._api.port}"), *call.fields)
         answer: Response | Refusal
@@ -200,19 +172,9 @@
             outcome="accepted" if refusal is None else refusal.reason,
         )
         if refusal is not None and refusal.kind is ErrorKind.FENCED:
-            self._lease.mark_lost()
-            self._rest(self._terms.window_s)
+            self._duty.mark_lost(self._terms.window_s)
         return refusal
 
-    def _rest(self, duration_s: float) -> None:
-        """Leave the duty to others for a while.
-
-        An entry that has just lost the lease may be cut off from the new holder, and
-        would take the lease back while the new holder waits for its first call.
-        """
-        self._resting_until_s = self._clock.now_s() + duration_s
-        self._is_holder = False
-
     async def _handle_failure(self, window: int, refusal: Refusal) -> None:
         """Pause after a failed report; leave the duty to another entry at length."""
         now_s = self._clock.now_s()
@@ -232,9 +194,8 @@
             self._failing_since_s = now_s
         if now_s - self._failing_since_s > self._terms.give_up_after_s:
             self._failing_since_s = None
-            self._rest(_REST_WINDOWS * self._terms.window_s)
             self._log.warning("duty-left", window=window, reason=refusal.reason)
-            await self._lease.release()
+            await self._duty.leave(_REST_WINDOWS * self._terms.window_s)
             return
         wait_s = refusal.retry_after_s if refusal.kind is ErrorKind.FENCED else None
         await asyncio.sleep(min(_MAX_SLEEP_S, max(_RETRY_PAUSE_S, wait_s or 0.0)))
@@ -248,13 +209,12 @@
     async def _announce(self, window: int) -> None:
         """Tell the entries that would take the duty over."""
         message = UsageReported(window, self._entries.node)
-        order = duty_order(self._entries.names, self._entries.node)
         await asyncio.gather(
             *(
                 self._links.call(
                     self._entries.address_of_node(name), message, _LINK_TIMEOUT_S
                 )
-                for name in order
+                for name in self._duty.order
                 if name != self._entries.node
             )
         )
@@ -263,26 +223,9 @@
         """Record that another entry has reported a window."""
         if message.window >= self._next_window:
             self._next_window = message.window + 1
-            self._last_holder = message.holder
+            self._duty.last_holder = message.holder
         return Acknowledged()
 
-    def answer_duty(self, message: AskDuty) -> DutyAnswer:
-        """Answer an entry that would take the duty over."""
-        idle_s = self._clock.now_s() - self._last_call_s
-        is_active = self._is_holder and not self._is_resting
-        return DutyAnswer(is_active, idle_s if self._is_resting else None)
-
-    async def ask_holder(self, node: str) -> HolderStatus:
-        """Ask another entry whether it performs the duty."""
-        address = self._entries.address_of_node(node)
-        if not address:
-            return HolderStatus(is_active=False)
-        answer = await self._links.call(address, AskDuty(), _LINK_TIMEOUT_S)
-        if not isinstance(answer, DutyAnswer):
-            return HolderStatus(is_active=False)
-        return HolderStatus(answer.is_active, answer.idle_s)
-
     async def stop(self) -> None:
         """Leave the duty to another entry, before a planned stop."""
-        self._resting_until_s = float("inf")
-        await self._lease.release()
+        await self._duty.leave(float("inf"))
--- a/pistachioglade/usage/tests/reporting.py
+++ b/pistachioglade/usage/tests/reporting.py
@@ -13,7 +13,7 @@
 from ...decisions import ReportTerms
 from ...errors import ErrorKind, Refusal, refuse
 from ...http1 import Fields, Response, first_field
-from ...leases import DUTY_LEASE_KIND, Lease, LeaseTerms
+from ...leases import DUTY_LEASE_KIND, Duty, Lease, LeaseTerms
 from ...messages import AskDuty, FetchUsage, UsageCounted, UsageReported
 from ...metrics import Metrics
 from ...platform import names
@@ -143,13 +143,18 @@
             terms,
             self.node,
             str(self._boots),
-            lambda node: self.reporter.ask_holder(node),
+        )
+        self.duty = Duty(
+            "usage",
+            self,
+            self,  # type: ignore[arg-type]
+            lease,
         )
         self.reporter = UsageReporter(
             self,
             self,  # type: ignore[arg-type]
             self,  # type: ignore[arg-type]
-            lease,
+            self.duty,
             TERMS,
             self.collector,
             counters,
@@ -209,7 +214,7 @@
             UsageCounted: self.copies.answer,
             FetchUsage: self.collector.answer,
             UsageReported: self.reporter.record_reported,
-            AskDuty: self.reporter.answer_duty,
+            AskDuty: lambda _message: self.duty.answer(),
         }
         return answers[type(message)](message)  # type: ignore[operator]
 
