Logs and command line: account, key digest and configuration of a decision

Cause: from a 401 nothing led to the configuration and the key that decided it. Change: request-refused has digests of the keys and the version in force; call-tried, stream-tried and job-accepted have the account; configuration-in-force counts accounts and keys; pistachioglade-ctl accounts shows accounts by name, digests and requests, and the version in force at each entry.

--- a/pistachioglade/accounts/_table.py
+++ b/pistachioglade/accounts/_table.py
@@ -58,6 +58,11 @@
     def __len__(self) -> int:
         return len(self._accounts)
 
+    @property
+    def key_count(self) -> int:
+        """Number of keys of all accounts."""
+        return len(self._by_digest)
+
     def find(self, key: str) -> Account | None:
         """Return the account that has a key; None if no account has it."""
         if not 0 < len(key) <= MAX_KEY_CHARS:
--- a/pistachioglade/ctl/_program.py
+++ b/pistachioglade/ctl/_program.py
@@ -32,6 +32,7 @@
     render_text,
     summarise,
 )
+from ._accounts import account_page, read_configuration, render_account_page
 from ._client import AdminClient, AdminError
 from ._story import read_log_lines, render_story
 from ._trace import find_slowest_trace, read_spans, render_trace
@@ -350,6 +351,17 @@
     return attrs.evolve(report, gaps=(*report.gaps, *logged.gaps))
 
 
+@main.command("accounts")
+@click.argument("path", type=click.Path(path_type=Path))
+@click.argument("paths", nargs=-1)
+@click.pass_obj
+@_exit_on_error
+def _accounts(context: _Context, path: Path, paths: tuple[str, ...]) -> None:
+    """Show a configuration's accounts, with keys as digests, and their requests."""
+    page = account_page(read_configuration(path), read_log_lines(map(Path, paths)))
+    context.show(unstructure(page), render_account_page(page))
+
+
 @main.command("trace")
 @click.argument("path")
 @click.option("--trace-id", default="", help="Trace to show; the slowest by default.")
--- a/pistachioglade/forwarding/_fleet_view.py
+++ b/pistachioglade/forwarding/_fleet_view.py
@@ -108,7 +108,12 @@
         if self.configuration and self.configuration.version >= decoded.version:
             return
         self.configuration = decoded
-        self._log.info("configuration-in-force", version=decoded.version)
+        self._log.info(
+            "configuration-in-force",
+            version=decoded.version,
+            accounts=None if decoded.accounts is None else len(decoded.accounts),
+            keys=None if decoded.accounts is None else decoded.accounts.key_count,
+        )
         for callback in self.on_configuration:
             callback()
         self._notify_change()
--- a/pistachioglade/forwarding/_forward.py
+++ b/pistachioglade/forwarding/_forward.py
@@ -159,6 +159,7 @@
                 "call-tried",
                 request=call.request_id,
                 route=route.name,
+                account=call.account,
                 instance=handle.id,
                 attempt=len(tried),
                 outcome=last.kind.value if isinstance(last, Refusal) else last.status,
--- a/pistachioglade/forwarding/_stream.py
+++ b/pistachioglade/forwarding/_stream.py
@@ -176,6 +176,7 @@
             "stream-tried",
             request=call.request_id,
             route=call.route.name,
+            account=call.account,
             instance=handle.id,
             attempt=attempt,
             outcome=outcome,
--- a/pistachioglade/serving/_ingress.py
+++ b/pistachioglade/serving/_ingress.py
@@ -8,7 +8,7 @@
 from typing import Final
 from urllib.parse import parse_qs
 
-from ..accounts import Caller, identify_caller
+from ..accounts import Caller, identify_caller, key_digest
 from ..errors import ErrorKind, Refusal, refuse
 from ..fleet import RouteKind, find_route
 from ..forwarding import FleetView, Forwarder, StreamEnd, StreamForwarder
@@ -25,6 +25,9 @@
 #: Path prefixes of the calls that read and end jobs.
 _JOB_PREFIXES: Final = (names.JOB_PATH, names.ITEM_PATH)
 
+#: Number of a request's keys whose digests are logged.
+_MAX_LOGGED_KEYS: Final = 2
+
 _STATUSES: Final[Mapping[ErrorKind, int]] = MappingProxyType(
     {
         ErrorKind.DEADLINE_EXCEEDED: 504,
@@ -67,6 +70,8 @@
                 path=request.path,
                 kind=answer.kind.value,
                 reason=answer.reason,
+                key_digests=_key_digests(request),
+                configuration=self._version_in_force,
                 execution=answer.execution.value,
                 after_s=round(
                     asyncio.get_running_loop().time() - request.received_s, 4
@@ -112,6 +117,11 @@
             return await self._streams.forward(call, reply)
         return await self._forwarder.forward(call)
 
+    @property
+    def _version_in_force(self) -> int | None:
+        configuration = self._view.configuration
+        return configuration.version if configuration else None
+
     def _route_name(self, request: Request) -> str | None:
         configuration = self._view.configuration
         host = request.field("host") or ""
@@ -134,6 +144,11 @@
         return await self._jobs.read_results(remainder, int(after), request, caller)
 
 
+def _key_digests(request: Request) -> list[str]:
+    """Return the digests of a request's keys, of which logs have no other trace."""
+    return [key_digest(key) for key in keys_of(request.fields)[:_MAX_LOGGED_KEYS]]
+
+
 def _job_of(request: Request) -> str | None:
     """Return the job that a call reads or ends; None for other calls."""
     is_job_call = request.path.startswith(_JOB_PREFIXES)
--- a/pistachioglade/serving/_job_calls.py
+++ b/pistachioglade/serving/_job_calls.py
@@ -112,6 +112,7 @@
             min_version=job.min_version,
             items=len(job.items),
             owner=stored.value["owner"],
+            account=caller.account_name,
             took_s=round(asyncio.get_running_loop().time() - request.received_s, 4),
         )
         self._ledger.apply_entry(stored, False)
