Engine counts: orders of engines from the observed demand

Cause: a service with `scaling` takes orders of engine counts, which nobody gave. Change: decisions/_engine_counts.py follows the peaks of the demand, up at once with its growth over the boot time, down one engine a domain once the peaks have been lower for long; scaling/ collects the demand of all entries and orders what changed, with the duty's lease; without an upstream that has limits it makes no call.

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -32,6 +32,7 @@
     is_quarantined,
     sample_pause_s,
 )
+from ._engine_counts import DemandHistory, EngineLimits, engine_counts
 from ._failover import (
     ENTRY_CALL_TIMEOUT_S,
     LATE_ANSWER_TIMEOUT_S,
@@ -161,7 +162,9 @@
     "ChooserSettings",
     "ConfigurationSource",
     "CrashHistory",
+    "DemandHistory",
     "Dispatch",
+    "EngineLimits",
     "FairQueue",
     "FinishedStep",
     "GroupAffinity",
@@ -198,6 +201,7 @@
     "count_fitting",
     "decide_admission",
     "duty_order",
+    "engine_counts",
     "engine_rank",
     "engines_preferred_by_others",
     "entries_to_ask",
--- a/pistachioglade/fleet/_types.py
+++ b/pistachioglade/fleet/_types.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..accounts import AccountTable
+from ..decisions import EngineLimits
 
 
 class RouteKind(Enum):
@@ -83,6 +84,8 @@
     models: tuple[str, ...]
     # Tokens in one event of a stream; 1 if not configured.
     event_tokens: int
+    # Limits for the number of engines; None if they can't be ordered.
+    scaling: EngineLimits | None = None
 
 
 @attrs.frozen
--- a/pistachioglade/leases/_duty.py
+++ b/pistachioglade/leases/_duty.py
@@ -90,6 +90,14 @@
         order = self.order
         return order.index(self._entries.node) if self._entries.node in order else None
 
+    async def is_turn(self) -> bool:
+        """Whether all entries before this one are lost or leave the duty to others."""
+        rank = self.rank
+        if not rank:
+            return rank == 0
+        statuses = [await self._ask(name) for name in self.order[:rank]]
+        return all(item is None or item.idle_s is not None for item in statuses)
+
     async def acquire(self) -> Refusal | None:
         """Acquire the lease; return why it can't be acquired, else None."""
         refusal = await self._lease.acquire()
@@ -137,10 +145,15 @@
 
     async def ask_holder(self, node: str) -> HolderStatus:
         """Ask another entry whether it performs the duty."""
+        answer = await self._ask(node)
+        if answer is None:
+            return HolderStatus(is_active=False)
+        return HolderStatus(answer.is_active, answer.idle_s)
+
+    async def _ask(self, node: str) -> DutyAnswer | None:
+        """Return an entry's answer; None if it can't be reached."""
         address = self._entries.address_of_node(node)
         if not address:
-            return HolderStatus(is_active=False)
+            return None
         answer = await self._links.call(address, AskDuty(self.name), _LINK_TIMEOUT_S)
-        if not isinstance(answer, DutyAnswer):
-            return HolderStatus(is_active=False)
-        return HolderStatus(answer.is_active, answer.idle_s)
+        return answer if isinstance(answer, DutyAnswer) else None
--- a/pistachioglade/messages/__init__.py
+++ b/pistachioglade/messages/__init__.py
@@ -31,6 +31,16 @@
     RootSnapshot,
     RootState,
 )
+from ._duties import (
+    AskDuty,
+    DemandKnown,
+    DutyAnswer,
+    FetchDemand,
+    FetchUsage,
+    UsageCounted,
+    UsageKnown,
+    UsageReported,
+)
 from ._entries import (
     AskHome,
     BatchRecord,
@@ -71,14 +81,6 @@
     StepOpened,
     VersionSpan,
 )
-from ._usage import (
-    AskDuty,
-    DutyAnswer,
-    FetchUsage,
-    UsageCounted,
-    UsageKnown,
-    UsageReported,
-)
 
 __all__ = [
     "FIRST_VERSION",
@@ -95,6 +97,7 @@
     "ChangePage",
     "ChangeRecord",
     "ChunkData",
+    "DemandKnown",
     "Digest",
     "DigestReply",
     "DrainNode",
@@ -103,6 +106,7 @@
     "Envelope",
     "FetchChanges",
     "FetchChunk",
+    "FetchDemand",
     "FetchNewer",
     "FetchResults",
     "FetchRoot",
--- a/pistachioglade/messages/_usage.py
+++ b/pistachioglade/messages/_duties.py
@@ -63,5 +63,18 @@
 
     # Whether the entry has not left the duty to others.
     is_active: bool
-    # Seconds since its last call to the platform, if it has left the duty.
+    # Seconds since its last call to the platform, if it leaves the duty to others.
     idle_s: float | None
+
+
+@attrs.frozen
+class FetchDemand:
+    """Ask an entry for the slots that its requests take or wait for."""
+
+
+@attrs.frozen
+class DemandKnown:
+    """The demand of one entry."""
+
+    # Number of requests that run or wait, by upstream.
+    upstreams: dict[str, int]
--- a/pistachioglade/platform/__init__.py
+++ b/pistachioglade/platform/__init__.py
@@ -8,7 +8,7 @@
     decode_instance,
     decode_version,
 )
-from ._duties import DutyCall, refusal_of_duty, usage_call
+from ._duties import DutyCall, refusal_of_duty, scaling_call, usage_call
 from ._engine_calls import (
     EngineState,
     InstanceLoad,
@@ -123,6 +123,7 @@
     "request_fields",
     "request_id_of",
     "resume_fields",
+    "scaling_call",
     "signature_of",
     "status_call",
     "usage_call",
--- a/pistachioglade/platform/_configuration.py
+++ b/pistachioglade/platform/_configuration.py
@@ -7,6 +7,7 @@
 from types import MappingProxyType
 from typing import Any, Final
 
+from ..decisions import EngineLimits
 from ..errors import ErrorKind, Refusal, refuse
 from ..fleet import (
     CallerLimits,
@@ -109,9 +110,23 @@
         max_connections=int(fields.get("max-connections", 64)),
         models=tuple(item["name"] for item in engine.get("models", ())),
         event_tokens=int(engine.get("stride", 1)),
+        scaling=_scaling(fields.get("scaling")),
     )
 
 
+def _scaling(fields: Mapping[str, Any] | None) -> EngineLimits | None:
+    if not fields:
+        return None
+    limits = EngineLimits(
+        _integer(fields, "min-replicas"),
+        _integer(fields, "max-replicas"),
+        max(0.0, float(fields.get("boot-time-s", 0.0))),
+    )
+    if limits.minimum > limits.maximum:
+        raise ValueError("min-replicas is above max-replicas")
+    return limits
+
+
 def _limits(fields: Mapping[str, Any]) -> CallerLimits:
     default = DEFAULT_LIMITS
     return CallerLimits(
--- a/pistachioglade/platform/_duties.py
+++ b/pistachioglade/platform/_duties.py
@@ -32,6 +32,16 @@
     return DutyCall(names.USAGE_PATH, _fields(holder, token), json.dumps(body).encode())
 
 
+def scaling_call(
+    upstream: str, domain: str, count: int, holder: str, token: int
+) -> DutyCall:
+    """Order the number of engines of an upstream in a failure domain."""
+    body = {"service": upstream, "zone": domain, "target-group-count": count}
+    return DutyCall(
+        names.SCALING_PATH, _fields(holder, token), json.dumps(body).encode()
+    )
+
+
 def _fields(holder: str, token: int) -> Fields:
     return (
         (names.DUTY_HOLDER, holder),
--- a/pistachioglade/platform/_names.py
+++ b/pistachioglade/platform/_names.py
@@ -35,6 +35,7 @@
 JOB_PATH: Final = "/v1/lots/"
 ITEM_PATH: Final = "/v1/items/"
 USAGE_PATH: Final = "/usage"
+SCALING_PATH: Final = "/scaling"
 ENGINE_STATE_PATH: Final = "/v1/report"
 ENGINE_ORDER_PATH: Final = "/v1/order"
 
--- a/pistachioglade/platform/_settings.py
+++ b/pistachioglade/platform/_settings.py
@@ -15,6 +15,8 @@
 
 #: Name of the duty to report usage, in the settings.
 _USAGE_DUTY: Final = "usage_reporting"
+#: Name of the duty to order engines, in the settings.
+_SCALING_DUTY: Final = "autoscaling"
 #: Lease duration if the settings name none, in seconds.
 _DEFAULT_LEASE_S: Final = 3.0
 
@@ -91,6 +93,8 @@
     checks_fences: bool = False
     # Usage reports that the platform wants; None if it wants none.
     usage: UsageSettings | None = None
+    # Platform's API that takes orders of engines; None if they are no duty here.
+    scaling_api: Address | None = None
 
 
 def load_settings(path: Path) -> ProcessSettings | Refusal:
@@ -135,6 +139,7 @@
         lease_s=_lease_s(fields),
         checks_fences=fields.get("bounds.fencing-enforced") == "true",
         usage=_usage(fields),
+        scaling_api=_duty_api(fields, _SCALING_DUTY),
     )
 
 
@@ -172,16 +177,22 @@
 
 def _usage(fields: Mapping[str, str]) -> UsageSettings | None:
     """Return what the usage reports need; None if they are no duty here."""
-    duties = fields.get("cloud-api.duties", "").split(",")
-    if _USAGE_DUTY not in duties:
+    api = _duty_api(fields, _USAGE_DUTY)
+    if api is None:
         return None
     return UsageSettings(
-        _required_address(fields, "cloud-api.address"),
+        api,
         _positive(fields, "bounds.report-window-s"),
         _positive(fields, "bounds.usage-delay-s"),
     )
 
 
+def _duty_api(fields: Mapping[str, str], duty: str) -> Address | None:
+    """Return the address of the platform's API if a duty is named, else None."""
+    is_named = duty in fields.get("cloud-api.duties", "").split(",")
+    return _required_address(fields, "cloud-api.address") if is_named else None
+
+
 def _positive(fields: Mapping[str, str], name: str) -> float:
     number = _number(fields, name)
     if not number > 0.0:
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -34,6 +34,7 @@
 from ..tasks import Supervisor
 from ..weights import FallbackEngineOrders
 from ._configuration_check import ConfigurationCheck
+from ._duties import Duties
 from ._entry_gauges import register_gauges
 from ._entry_messages import EntryMessages
 from ._ingress import Ingress
@@ -42,6 +43,7 @@
 from ._neighbour import NeighbourWatch
 from ._peers import Peers
 from ._planned_stop import PlannedStop
+from ._scaling_duty import ScalingDuty
 from ._secret import SHARED_SECRET
 from ._settings_watch import SettingsWatch
 from ._store_ways import StoreRelays
@@ -104,28 +106,20 @@
             policy,
             settings.domain,
         )
-        self._usage = UsageDuty(
-            settings, boot, self._members, self._store, links, metrics
-        )
+        usage = UsageDuty(settings, boot, self._members, self._store, links, metrics)
         is_bounded = policy.uses(Mechanism.RETRY_BUDGET)
         budget = RetryBudget(RETRY_PERCENT if is_bounded else _UNBOUNDED_PERCENT)
         self._crashes = CrashLedger()
-        self._forwarder = Forwarder(
-            self._view,
-            settings.domain,
-            metrics,
-            budget,
-            self._crashes,
-            self._usage.meter,
-        )
-        streams = StreamForwarder(
+        forwarding = (
             self._view,
             settings.domain,
             metrics,
             budget,
             self._crashes,
-            self._usage.meter,
+            usage.meter,
         )
+        self._forwarder = Forwarder(*forwarding)
+        streams = StreamForwarder(*forwarding)
         self._ledger = JobLedger()
         reader = JobReader(
             own_name,
@@ -146,6 +140,16 @@
             policy,
             lambda upstream: self._members.engines_preferred_by_others(upstream),
         )
+        scaling = ScalingDuty(
+            settings,
+            boot,
+            self._members,
+            self._view,
+            self._owner,
+            self._store,
+            links,
+        )
+        self._duties = Duties(usage, scaling)
         self._store_relays = StoreRelays(self._members, self._store, links, policy)
         self._store.relays = self._store_relays.relays
         self._fallback_orders = FallbackEngineOrders(
@@ -266,7 +270,7 @@
         """Return what answers the messages of other entries."""
         messages = EntryMessages()
         self._peers.register_messages(messages)
-        self._usage.register_messages(messages)
+        self._duties.register_messages(messages)
         messages.register(FetchChanges, self._watch_relays.answer)
         messages.register(FetchNewer, self._configuration_check.answer)
         messages.register(RelayCall, self._store_relays.answer)
@@ -301,11 +305,9 @@
         self, kind: str, revision: int
     ) -> EntryChanges | Refusal | None:
         """Follow a relay, except while jobs run here: jobs need changes sooner."""
-        return (
-            None
-            if self._owner.runs
-            else await self._watch_relays.fetch_changes(kind, revision)
-        )
+        if self._owner.runs:
+            return None
+        return await self._watch_relays.fetch_changes(kind, revision)
 
     def _apply_limits(self) -> None:
         configuration = self._view.configuration
@@ -343,7 +345,7 @@
         start("cleaner", self._cleaner.run)
         start("owner", self._owner.run_scheduler)
         start("texts", self._owner.save_texts, may_end=True)
-        for name, work in self._usage.tasks().items():
+        for name, work in self._duties.tasks().items():
             start(name, work)
         start("housekeeping", self._do_housekeeping)
         start("settings", self._watch.run)
@@ -370,7 +372,7 @@
             self._owner,
             self._peers,
             self._members,
-            (self._fallback_orders.release_all, self._usage.stop),
+            (self._fallback_orders.release_all, self._duties.stop),
         )
 
     async def _enable_jobs(self) -> None:
--- a/pistachioglade/serving/_usage_duty.py
+++ b/pistachioglade/serving/_usage_duty.py
@@ -6,11 +6,10 @@
 from typing import Final
 
 from ..decisions import ReportTerms
-from ..errors import ErrorKind, Refusal, refuse
 from ..http1 import Pool
 from ..leases import DUTY_LEASE_KIND, Duty, Lease, LeaseTerms
 from ..links import LinkPool
-from ..messages import AskDuty, DutyAnswer, FetchUsage, UsageCounted, UsageReported
+from ..messages import FetchUsage, UsageCounted, UsageReported
 from ..metrics import Metrics
 from ..platform import ProcessSettings
 from ..store import StoreClient
@@ -26,7 +25,7 @@
 from ._members import Members
 
 #: Name of the duty and of its lease.
-_DUTY_NAME: Final = "usage"
+DUTY_NAME: Final = "usage"
 
 
 class UsageDuty:
@@ -49,16 +48,18 @@
         self.meter = UsageMeter(counters, clock, terms)
         self._copies = UsageCopies(members, links, counters)
         self._reporter: UsageReporter | None = None
+        # The duty; None if the platform wants no reports.
+        self.duty: Duty | None = None
         if usage is None or terms is None:
             return
         self._collector = UsageCollector(members, links, counters, clock, terms)
         lease = Lease(store, _lease_terms(settings), settings.node, boot)
-        self._duty = Duty(_DUTY_NAME, members, links, lease)
+        self.duty = Duty(DUTY_NAME, members, links, lease)
         self._reporter = UsageReporter(
             members,
             links,
             Pool(usage.api.host, usage.api.port),
-            self._duty,
+            self.duty,
             terms,
             self._collector,
             counters,
@@ -73,12 +74,6 @@
         messages.register(UsageCounted, self._copies.answer)
         messages.register(FetchUsage, self._collector.answer)
         messages.register(UsageReported, self._reporter.record_reported)
-        messages.register(AskDuty, self._answer_duty)
-
-    def _answer_duty(self, message: AskDuty) -> DutyAnswer | Refusal:
-        if message.duty != self._duty.name:
-            return refuse(ErrorKind.NOT_FOUND, f"no duty {message.duty:.40}")
-        return self._duty.answer()
 
     def tasks(self) -> dict[str, Callable[[], Awaitable[None]]]:
         """Return the background tasks by name."""
@@ -100,7 +95,7 @@
 def _lease_terms(settings: ProcessSettings) -> LeaseTerms:
     return LeaseTerms(
         DUTY_LEASE_KIND,
-        _DUTY_NAME,
+        DUTY_NAME,
         settings.lease_s,
         settings.checks_fences,
         may_call_at_once=True,
