Soak: accounts, a key of each version, and usage reports join the checks

Cause: the soak knew no accounts and no duties. Change: callers and trainers send a key; the probe asks with a key that only one version has; reports go to a stand-in of the platform's API (standins/_duty_api.py). Checked: each request's account at its instance, none at reward calls; reports that contradict each other, tokens of two holders, turns within a lease; windows are reported again.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -16,7 +16,7 @@
 from pistachioglade.standins._fleet_instance import event_data
 from tests.serving import HOST, LOOKUP
 
-from ._world import EVENTS, Program, World
+from ._world import EVENTS, KEY, Program, World, key_of_version
 
 #: Time for which a caller waits for an answer, in seconds.
 _CALL_TIMEOUT_S: Final = 4.0
@@ -69,6 +69,7 @@
         sent = (
             ("Host", HOST),
             (names.ATTEMPT_ID, request_id),
+            (names.KEY, KEY),
             (names.DEADLINE_MS, str(int(_CALL_TIMEOUT_S * 1000))),
         )
         status: int | None = None
@@ -166,7 +167,12 @@
 
     async def _is_served(self, program: Program, version: int) -> bool:
         pool = Pool("127.0.0.1", program.process.port)
-        sent = (("Host", HOST), (names.ATTEMPT_ID, f"probe-{version}"))
+        # The version's own key: neither route nor key may come back.
+        sent = (
+            ("Host", HOST),
+            (names.ATTEMPT_ID, f"probe-{version}"),
+            (names.KEY, key_of_version(version)),
+        )
         try:
             answer = await pool.request("GET", f"/only-{version}/x", sent, b"", 2.0)
         except TimeoutError:
--- a/soak/_crashes.py
+++ b/soak/_crashes.py
@@ -15,7 +15,7 @@
 from pistachioglade.standins._fleet_instance import FleetInstance
 from tests.serving import HOST, LOOKUP
 
-from ._world import World
+from ._world import KEY, World
 
 #: Time for which a request is repeated, in seconds; must exceed the grace period.
 _REPEAT_S: Final = 8.0
@@ -77,6 +77,7 @@
         sent = (
             ("Host", HOST),
             (names.ATTEMPT_ID, request_id),
+            (names.KEY, KEY),
             (names.DEADLINE_MS, str(int(_CALL_TIMEOUT_S * 1000))),
         )
         pool = Pool("127.0.0.1", process.port)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -15,7 +15,7 @@
 from ._crashes import CrashingCaller
 from ._faults import draw_fault, inject_fault
 from ._trainers import Trainer
-from ._world import World, soak_configuration
+from ._world import ACCOUNT, World, soak_configuration
 
 #: Minimum time between orders of two lease holders to one engine, in seconds.
 _MIN_HOLDER_CHANGE_S: Final = 3.0
@@ -149,6 +149,26 @@
             caller.check_runs()
         self._crashing_caller.check_late_attempts()
         self._check_orders()
+        self._check_accounts()
+        await self._check_usage()
+
+    def _check_accounts(self) -> None:
+        """Check that requests ran under their account, and reward calls under none."""
+        for instance in self._world.fleet.instances:
+            for request_id, accounts in instance.accounts.items():
+                is_reward = "reward" in request_id
+                if accounts != {"" if is_reward else ACCOUNT}:
+                    self._world.record_violation(f"{request_id} ran under {accounts}")
+
+    async def _check_usage(self) -> None:
+        """Check that windows are reported again, and no report contradicts another."""
+        world = self._world
+        reported = len(world.duty_api.by_window())
+        while len(world.duty_api.by_window()) < reported + 2:
+            await asyncio.sleep(0.1)
+        world.counts["usage window"] += reported
+        for what in world.duty_api.contradictions(_MIN_HOLDER_CHANGE_S):
+            world.record_violation(what)
 
     def _check_orders(self) -> None:
         """Check that holders' orders don't overlap and that fencing tokens rise."""
--- a/soak/_trainers.py
+++ b/soak/_trainers.py
@@ -14,7 +14,7 @@
 from pistachioglade.standins._fleet_instance import sample_text
 from tests.serving import HOST, JOBS, submission
 
-from ._world import EVENTS, MODEL, Program, World
+from ._world import EVENTS, KEY, MODEL, Program, World
 
 _GROUPS: Final = 2
 _SIZE: Final = 3
@@ -84,6 +84,7 @@
         sent = (
             ("Host", HOST),
             (names.ATTEMPT_ID, job_id),
+            (names.KEY, KEY),
             (names.WAIT_MS, "400"),
         )
         try:
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -11,9 +11,10 @@
 import attrs
 
 from pistachioglade.platform import names
+from pistachioglade.standins._duty_api import DutyApiStandin
 from pistachioglade.standins._fleet_instance import FleetInstance
 from pistachioglade.store.tests.served import ServedStore
-from tests.serving import Fleet, ServingProcess, configuration
+from tests.serving import REWARD, Fleet, ServingProcess, configuration
 
 from ._relay import Relay
 
@@ -21,6 +22,12 @@
 MODEL: Final = "m"
 #: Name of the store in ``World.disturbances``.
 STORE: Final = "store"
+#: Account of all callers and trainers, and the key that it keeps.
+ACCOUNT: Final = "soaked"
+KEY: Final = "key-of-the-soak"
+#: Length of a window of usage and time until its report is due, in seconds.
+WINDOW_S: Final = 2.0
+USAGE_DELAY_S: Final = 8.0
 #: Events of a sample and seconds per event: a sample runs for 0.7 s.
 EVENTS: Final = 35
 EVENT_S: Final = 0.02
@@ -36,9 +43,20 @@
     return asyncio.get_running_loop().time()
 
 
+def key_of_version(version: int) -> str:
+    """Return the key that only one version of the configuration has."""
+    return f"key-of-version-{version}"
+
+
 def soak_configuration(version: int) -> dict[str, Any]:
-    """Return a configuration with one route that only this version has."""
-    value = configuration(version)
+    """Return a configuration with one route and one key that only this version has."""
+    accounts = [
+        {"name": ACCOUNT, "api-keys": [KEY, key_of_version(version)]},
+        {"name": "other", "api-keys": []},
+    ]
+    value = configuration(version, tenants=accounts)
+    for route in value["routes"]:
+        route["public"] = route["path-prefix"] == REWARD
     lookup = value["routes"][0]
     stream = {"type": "streaming", "service": "lm"}
     value["routes"] += [
@@ -75,6 +93,8 @@
     def __init__(self, store: ServedStore, folder: Path, seed: int) -> None:
         self.random = random.Random(seed)
         self.fleet = Fleet(store, folder)
+        # The platform's API for usage reports.
+        self.duty_api = DutyApiStandin()
         self.store = store
         # Entries and engine programs, by name.
         self.entries: dict[str, Program] = {}
@@ -161,6 +181,12 @@
 
     async def start_all(self, entries: int, engines: int, plain: int) -> None:
         """Start the instances, the programs and the background tasks."""
+        self.fleet.extra_settings |= {
+            "cloud-api.address": f"127.0.0.1:{await self.duty_api.start()}",
+            "cloud-api.duties": "usage_reporting",
+            "bounds.report-window-s": f"{WINDOW_S:g}",
+            "bounds.usage-delay-s": f"{USAGE_DELAY_S:g}",
+        }
         await self.fleet.configure(soak_configuration(1))
         for _ in range(plain):
             await self.add_instance("app")
@@ -267,6 +293,7 @@
                 process.kill()
                 await process.wait()
             program.store.stop()
+        self.duty_api.stop()
         for relay in self.instance_relays.values():
             relay.stop()
         for instance in self.fleet.instances:
--- a/tests/test_serving_usage.py
+++ b/tests/test_serving_usage.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import signal
 import time
 from collections import Counter
 from pathlib import Path
 from typing import Any, Final
 
-from pistachioglade.http1 import HttpServer, Reply, Request, Response, ServerLimits
 from pistachioglade.platform import names
+from pistachioglade.standins._duty_api import DutyApiStandin
 
 from .serving import (
     JOBS,
@@ -28,44 +27,13 @@
 _KEYS: Final = {"key-of-first": "first", "key-of-second": "second"}
 
 
-class _Platform:
-    """The platform's API: accepts usage reports with rising fencing tokens."""
-
-    def __init__(self) -> None:
-        self._server = HttpServer(self._handle, ServerLimits())
-        self._token = 0
-        # Reports of each window: holder and counts.
-        self.reports: dict[int, list[tuple[str, dict[str, int]]]] = {}
-
-    async def start(self) -> int:
-        await self._server.start("127.0.0.1", 0)
-        return self._server.port
-
-    async def _handle(self, request: Request, reply: Reply) -> None:
-        token = int(request.field(names.FENCING_TOKEN) or 0)
-        if request.path != names.USAGE_PATH or token < self._token:
-            reply.send(Response(409))
-            return
-        self._token = token
-        sent: dict[str, Any] = json.loads(request.body)
-        holder = request.field(names.DUTY_HOLDER) or ""
-        reports = self.reports.setdefault(sent["window-number"], [])
-        reports.append((holder, sent["counts"]))
-        reply.send(Response(200))
-
-    @property
-    def last_holder(self) -> str:
-        """Entry that reported last."""
-        return self.reports[max(self.reports)][-1][0]
-
-    def counts(self, since: int, until: int) -> Counter[str]:
-        """Return the counts of some windows, each of which was reported once."""
-        total: Counter[str] = Counter()
-        for window in range(since, until + 1):
-            reports = self.reports[window]
-            assert len({json.dumps(counts) for _, counts in reports}) == 1
-            total.update(reports[0][1])
-        return total
+def _counts(platform: DutyApiStandin, since: int, until: int) -> Counter[str]:
+    """Return the counts of some windows, each of which was reported."""
+    by_window = platform.by_window()
+    total: Counter[str] = Counter()
+    for window in range(since, until + 1):
+        total.update(by_window[window][0].counts)
+    return total
 
 
 def _with_accounts(version: int) -> dict[str, Any]:
@@ -76,7 +44,7 @@
     return value
 
 
-async def _add_entries(fleet: Fleet, platform: _Platform, count: int) -> None:
+async def _add_entries(fleet: Fleet, platform: DutyApiStandin, count: int) -> None:
     fleet.extra_settings |= {
         "cloud-api.address": f"127.0.0.1:{await platform.start()}",
         "cloud-api.duties": "usage_reporting,autoscaling",
@@ -108,9 +76,9 @@
     return account
 
 
-async def _wait_for_report(platform: _Platform, window: int) -> None:
+async def _wait_for_report(platform: DutyApiStandin, window: int) -> None:
     async with asyncio.timeout(_DELAY_S + 20.0):
-        while window not in platform.reports:
+        while window not in platform.by_window():
             await asyncio.sleep(0.1)
 
 
@@ -118,7 +86,7 @@
     tmp_path: Path,
 ) -> None:
     async def case(fleet: Fleet) -> None:
-        platform = _Platform()
+        platform = DutyApiStandin()
         await _add_entries(fleet, platform, 3)
         since = int(time.time() // _WINDOW_S)
         expected: Counter[str] = Counter()
@@ -134,7 +102,7 @@
         assert (await fleet.call(entry, "POST", f"{LOOKUP}x", "u-x")).status == 401
         # Counters are copied to another entry within a tenth of a second.
         await asyncio.sleep(1.0)
-        holder = platform.last_holder
+        holder = platform.reports[-1].holder
         killed = next(item for item in fleet.entries if item.name == holder)
         killed.send_signal(signal.SIGKILL)
         await killed.wait_for_exit()
@@ -142,7 +110,8 @@
             expected[await _look_up(fleet, number)] += 1
         until = int(time.time() // _WINDOW_S)
         await _wait_for_report(platform, until)
-        assert platform.counts(since, until) == expected
-        assert platform.last_holder != holder
+        assert _counts(platform, since, until) == expected
+        assert platform.reports[-1].holder != holder
+        assert not platform.contradictions(lease_s=3.0)
 
     run_case(tmp_path, case, entries=0)
