--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -77,6 +77,8 @@
 from ._lease import LeaseObserver
 from ._lease_turns import (
     CALL_WINDOW_S,
+    MAX_DUTY_RANKS,
+    duty_order,
     fallback_entry_of,
     first_call_wait_s,
     may_take_lease,
@@ -112,12 +114,10 @@
 from ._store_outage import StoreOutage, may_have_lapsed
 from ._transfer import fetch_sources, wave_delay_s
 from ._usage_reports import (
-    MAX_DUTY_RANKS,
     MAX_LEDGER_WINDOWS,
     ReportTerms,
     clock_correction_s,
     copy_holder,
-    duty_order,
 )
 from ._watch_relays import (
     RELAY_AGE_FRACTION,
--- a/pistachioglade/decisions/_lease_turns.py
+++ b/pistachioglade/decisions/_lease_turns.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Sequence
 from typing import Final
 
 from ._hashing import rendezvous_order
@@ -16,6 +16,8 @@
 #: Longest time between the store's confirmation of a lease and the arrival of a call
 #: that relies on the confirmation: one call to the store and the call itself.
 CALL_WINDOW_S: Final = 2.0
+#: Number of entries that take a duty over one after the other.
+MAX_DUTY_RANKS: Final = 4
 
 
 def first_call_wait_s(lease_s: float, released_idle_s: float | None = None) -> float:
@@ -54,3 +56,20 @@
 def fallback_entry_of(engine: str, entries: Iterable[str]) -> str | None:
     """Return the entry that sends an engine's orders if no process beside it does."""
     return next(iter(rendezvous_order(engine, entries)), None)
+
+
+def duty_order(
+    duty: str,
+    entries: Iterable[str],
+    last_holder: str,
+    resting: Collection[str] = (),
+) -> Sequence[str]:
+    """Return the entries that may perform a duty, in the order in which they take over.
+
+    The last holder goes first, so that an entry that comes back doesn't take the duty
+    from it. Entries that have just given up on the duty are left out.
+    """
+    able = [name for name in entries if name not in resting]
+    order = rendezvous_order(duty, able)
+    order.sort(key=lambda name: name != last_holder)
+    return order[:MAX_DUTY_RANKS]
--- a/pistachioglade/decisions/_usage_reports.py
+++ b/pistachioglade/decisions/_usage_reports.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 from statistics import median
 from typing import Final
 
@@ -28,8 +28,6 @@
 #: Time without success after which a holder leaves the duty to another entry, as such a
 #: fraction.
 _GIVE_UP_FRACTION: Final = 0.2
-#: Number of entries that take the duty over one after the other.
-MAX_DUTY_RANKS: Final = 4
 #: Windows that the ledger keeps. A window whose report may still be repeated is one of
 #: the latest.
 MAX_LEDGER_WINDOWS: Final = 8
@@ -73,23 +71,6 @@
         return _GIVE_UP_FRACTION * self.delay_s
 
 
-def duty_order(
-    duty: str,
-    entries: Iterable[str],
-    last_holder: str,
-    resting: Collection[str] = (),
-) -> Sequence[str]:
-    """Return the entries that may perform a duty, in the order in which they take over.
-
-    The last holder goes first, so that an entry that comes back doesn't take the duty
-    from it. Entries that have just given up on the duty are left out.
-    """
-    able = [name for name in entries if name not in resting]
-    order = rendezvous_order(duty, able)
-    order.sort(key=lambda name: name != last_holder)
-    return order[:MAX_DUTY_RANKS]
-
-
 def copy_holder(own: str, domains: Mapping[str, str]) -> str | None:
     """Return the entry that keeps a copy of an entry's counters; None without another.
 
