Usage reports: windows are recorded in their order, and never counted anew

Cause: a holder that is far behind could count a window again that the ledger had forgotten, and report it with other counts; a ledger that can't be read was taken for one that marks every window as reported, for ever. Change: a window before the newest of the ledger that is not in it is not reported; an unreadable ledger is replaced at once. Kept windows follow from the deployment's terms.

--- a/pistachioglade/decisions/_usage_reports.py
+++ b/pistachioglade/decisions/_usage_reports.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
+from math import ceil
 from statistics import median
 from typing import Final
 
@@ -31,6 +32,8 @@
 #: Windows that the ledger keeps. A window whose report may still be repeated is one of
 #: the latest.
 MAX_LEDGER_WINDOWS: Final = 8
+#: Windows after which a report that is overdue is not made any more.
+_OVERDUE_WINDOWS: Final = 4
 #: Largest difference between two clocks that is not corrected, in seconds.
 _CLOCK_TOLERANCE_S: Final = 0.02
 
@@ -65,6 +68,15 @@
         """Return the time until which a report waits for entries without an answer."""
         return self.end_s(window) + _WAIT_FRACTION * self.delay_s
 
+    def is_overdue(self, window: int, now_s: float) -> bool:
+        """Return whether a window's report is too late to be made."""
+        return now_s - self.due_s(window) > _OVERDUE_WINDOWS * self.window_s
+
+    @property
+    def kept_windows(self) -> int:
+        """Number of the latest windows whose counters may still be reported."""
+        return ceil(self.delay_s / self.window_s) + _OVERDUE_WINDOWS + 2
+
     @property
     def give_up_after_s(self) -> float:
         """Time without success after which a holder leaves the duty, in seconds."""
--- a/pistachioglade/serving/_usage_duty.py
+++ b/pistachioglade/serving/_usage_duty.py
@@ -41,9 +41,11 @@
         metrics: Metrics,
     ) -> None:
         clock = Clock()
-        counters = UsageCounters(f"{settings.node}#{boot}")
         usage = settings.usage
         terms = _report_terms(settings)
+        counters = UsageCounters(
+            f"{settings.node}#{boot}", terms.kept_windows if terms else 0
+        )
         # Counts the requests that instances begin.
         self.meter = UsageMeter(counters, clock, terms)
         self._copies = UsageCopies(members, links, counters)
--- a/pistachioglade/store/tests/conditional.py
+++ b/pistachioglade/store/tests/conditional.py
@@ -24,6 +24,12 @@
         self.late_writes_s: list[float] = []
         self._late: set[asyncio.Task[None]] = set()
 
+    def spoil(self, name: str, field: str, value: Any) -> None:
+        """Change a field of an object, as another writer may."""
+        entry = self._entries[name]
+        changed = {**entry.value, field: value}
+        self._entries[name] = Entry(name, next(self._revisions), changed, None)
+
     async def _answer(self, entry: Entry) -> Entry | Refusal:
         await asyncio.sleep(0.004)
         if self.lost_answers > 0:
--- a/pistachioglade/usage/_counters.py
+++ b/pistachioglade/usage/_counters.py
@@ -13,8 +13,6 @@
 
 import attrs
 
-#: Number of the latest windows whose counters are kept.
-_KEPT_WINDOWS: Final = 12
 #: Largest count that another entry may send.
 _MAX_COUNT: Final = 2**53
 
@@ -28,6 +26,8 @@
 
     # Run of this process.
     run: str
+    # Number of the latest windows whose counters are kept.
+    kept_windows: int
     # Counters by window and run.
     _windows: defaultdict[int, dict[str, Counter[str]]] = attrs.field(
         factory=lambda: defaultdict(dict)
@@ -80,6 +80,6 @@
         return dict(sum(runs, Counter()))
 
     def _forget_old(self) -> None:
-        for window in sorted(self._windows)[:-_KEPT_WINDOWS]:
+        for window in sorted(self._windows)[: -self.kept_windows]:
             del self._windows[window]
             self._changed.discard(window)
--- a/pistachioglade/usage/_ledger.py
+++ b/pistachioglade/usage/_ledger.py
@@ -33,6 +33,11 @@
     # Reports by window.
     entries: Mapping[int, LedgerEntry] = attrs.field(factory=dict)
 
+    @property
+    def newest(self) -> int:
+        """The latest window that was recorded; -1 if there is none."""
+        return max(self.entries, default=-1)
+
     def with_entry(self, window: int, entry: LedgerEntry) -> ReportLedger:
         """Return the ledger with a report, without those that are too old."""
         entries = {**self.entries, window: entry}
--- a/pistachioglade/usage/_reporter.py
+++ b/pistachioglade/usage/_reporter.py
@@ -29,9 +29,6 @@
 _RETRY_PAUSE_S: Final = 0.3
 #: Windows for which an entry leaves the duty to others after it has given up.
 _REST_WINDOWS: Final = 2
-#: Windows after which a report that is overdue is not made any more: its counters are
-#: about to be forgotten.
-_OVERDUE_WINDOWS: Final = 4
 
 
 class UsageReporter:
@@ -78,7 +75,7 @@
             if wait_s > 0.0:
                 await asyncio.sleep(min(wait_s, _MAX_SLEEP_S))
                 continue
-            if self._is_overdue(window):
+            if self._terms.is_overdue(window, self._clock.now_s()):
                 self._finish(window, "missed")
                 continue
             refusal = await self._report(window)
@@ -92,10 +89,6 @@
         if rank == 0 and self._duty.last_holder not in (self._entries.node, ""):
             await self._duty.acquire()
 
-    def _is_overdue(self, window: int) -> bool:
-        overdue_s = self._clock.now_s() - self._terms.due_s(window)
-        return overdue_s > _OVERDUE_WINDOWS * self._terms.window_s
-
     async def _report(self, window: int) -> Refusal | None:
         """Report a window; return why that failed, or None."""
         refusal = await self._duty.acquire()
@@ -103,6 +96,11 @@
             return refusal
         ledger = self._read_ledger()
         entry = ledger.entries.get(window)
+        if entry is None and window <= ledger.newest:
+            # Windows are recorded in their order: this one was given up, or reported so
+            # long ago that the ledger has forgotten its counts.
+            self._finish(window, "missed")
+            return None
         if entry is None:
             entry = await self._count(window)
             ledger = ledger.with_entry(window, entry)
@@ -132,7 +130,9 @@
         self._log.error("usage-ledger-unreadable", window=self._next_window)
         reported = LedgerEntry({}, is_acknowledged=True)
         current = self._terms.window_at(self._clock.now_s())
-        return ReportLedger(dict.fromkeys(range(current - 4, current), reported))
+        ledger = ReportLedger({current - 1: reported})
+        self._duty.payload = ledger.encode()
+        return ledger
 
     async def _count(self, window: int) -> LedgerEntry:
         missing = await self._collector.collect(window)
--- a/pistachioglade/usage/tests/reporting.py
+++ b/pistachioglade/usage/tests/reporting.py
@@ -121,7 +121,7 @@
         # Whether requests begin here.
         self.is_serving = True
         clock = Clock(now_s, lambda: START_UNIX_S + self.clock_error_s + now_s())
-        counters = UsageCounters(f"{self.node}#{self._boots}")
+        counters = UsageCounters(f"{self.node}#{self._boots}", TERMS.kept_windows)
         self.meter = UsageMeter(counters, clock, TERMS)
         self.copies = UsageCopies(self, self, counters)  # type: ignore[arg-type]
         self.collector = UsageCollector(
--- a/pistachioglade/usage/tests/test_counters.py
+++ b/pistachioglade/usage/tests/test_counters.py
@@ -33,13 +33,15 @@
     """Each request is counted at one of three entries, and copied at any moment."""
 
     def work() -> None:
-        entries = [UsageCounters(f"entry-{number}") for number in range(3)]
+        entries = [
+            UsageCounters(f"entry-{number}", _TERMS.kept_windows) for number in range(3)
+        ]
         copies = []
         for number, account, window in requests:
             entries[number].count(account, window)
             copies.append((entries[number].run, entries[number].take_changed()))
         random.shuffle(copies)  # type: ignore[attr-defined]
-        reporter = UsageCounters("reporter")
+        reporter = UsageCounters("reporter", _TERMS.kept_windows)
         for run, windows in copies + copies[::2]:
             reporter.merge(run, windows)
         for window in range(4):
@@ -51,7 +53,7 @@
 
 def test_a_lost_copy_is_sent_again() -> None:
     def work() -> None:
-        counters = UsageCounters("e")
+        counters = UsageCounters("e", _TERMS.kept_windows)
         counters.count("a", 7)
         lost = counters.take_changed()
         assert counters.take_changed() == {}
@@ -64,7 +66,7 @@
 
 def test_old_windows_are_forgotten_and_large_counts_bounded() -> None:
     def work() -> None:
-        counters = UsageCounters("e")
+        counters = UsageCounters("e", _TERMS.kept_windows)
         for window in range(100):
             counters.merge("other", {window: {"a": 2**80, "b": -1}})
         assert counters.total(0) == {}
@@ -74,7 +76,7 @@
 
 
 def _meter(now: list[float]) -> tuple[UsageMeter, UsageCounters]:
-    counters = UsageCounters("e")
+    counters = UsageCounters("e", _TERMS.kept_windows)
     clock = Clock(lambda: now[0], lambda: now[0])
     return UsageMeter(counters, clock, _TERMS), counters
 
