One client of the platform's API and one stand-in with fences for its duties

Cause: usage reports and engine counts each had their own call and their own stand-in. Change: leases/_platform_api.py, leases/tests/fenced_api.py; the checks of turns and tokens are the same for both.

--- a/pistachioglade/leases/__init__.py
+++ b/pistachioglade/leases/__init__.py
@@ -8,6 +8,7 @@
     Lease,
     LeaseTerms,
 )
+from ._platform_api import PlatformApi
 
 __all__ = [
     "DUTY_LEASE_KIND",
@@ -17,4 +18,5 @@
     "HolderStatus",
     "Lease",
     "LeaseTerms",
+    "PlatformApi",
 ]
--- a/pistachioglade/scaling/_controller.py
+++ b/pistachioglade/scaling/_controller.py
@@ -7,20 +7,18 @@
 from typing import Final
 
 from ..decisions import DemandHistory, engine_counts
-from ..errors import ErrorKind, Refusal, refuse
-from ..http1 import Pool, Response
-from ..leases import Duty, Entries
+from ..errors import ErrorKind, Refusal
+from ..leases import Duty, Entries, PlatformApi
 from ..links import LinkPool
 from ..logs import logger
 from ..messages import DemandKnown, FetchDemand
-from ..platform import refusal_of_duty, scaling_call
+from ..platform import scaling_call
 from ._ledger import CountLedger, OrderedCount, decode_count_ledger
 from ._subjects import ScaledUpstream
 
 #: Time between two looks at the demand.
 _INTERVAL_S: Final = 2.0
 _LINK_TIMEOUT_S: Final = 0.5
-_API_TIMEOUT_S: Final = 1.0
 #: Time for which an entry leaves the duty to others after a failure.
 _REST_S: Final = 6.0
 #: Failures in a row after which an entry leaves the duty to others.
@@ -37,7 +35,7 @@
         self,
         entries: Entries,
         links: LinkPool,
-        api: Pool,
+        api: PlatformApi,
         duty: Duty,
         find_upstreams: Callable[[], tuple[ScaledUpstream, ...]],
         own_demand: Callable[[], dict[str, int]],
@@ -137,7 +135,9 @@
         token = await self._duty.obtain_token(_REST_S)
         if isinstance(token, Refusal):
             return None if token.kind is ErrorKind.FENCED else token
-        refusal = await self._send(upstream, domain, count, token)
+        refusal = await self._api.make(
+            scaling_call(upstream, domain, count, self._entries.node, token)
+        )
         self._log.info(
             "engines-ordered",
             upstream=upstream,
@@ -154,21 +154,6 @@
             self._duty.payload = ledger.with_order(subject, acknowledged).encode()
         return refusal
 
-    async def _send(
-        self, upstream: str, domain: str, count: int, token: int
-    ) -> Refusal | None:
-        call = scaling_call(upstream, domain, count, self._entries.node, token)
-        fields = (("Host", f"{self._api.host}:{self._api.port}"), *call.fields)
-        answer: Response | Refusal
-        try:
-            answer = await self._api.request(
-                "POST", call.path, fields, call.body, _API_TIMEOUT_S
-            )
-        except TimeoutError:
-            reason = f"no answer in {_API_TIMEOUT_S:.2f} s"
-            answer = refuse(ErrorKind.UPSTREAM_LOST, reason)
-        return refusal_of_duty(answer)
-
     def answer(self, message: FetchDemand) -> DemandKnown:
         """Answer the entry that orders engines."""
         return DemandKnown(self._own_demand())
--- a/pistachioglade/scaling/tests/test_controller.py
+++ b/pistachioglade/scaling/tests/test_controller.py
@@ -3,21 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
-import attrs
 import pytest
 
 from ...decisions import EngineLimits
 from ...errors import ErrorKind, refuse
-from ...http1 import Fields, Response, first_field
-from ...leases import DUTY_LEASE_KIND, Duty, Lease, LeaseTerms
+from ...http1 import Fields, Response
+from ...leases import DUTY_LEASE_KIND, Duty, Lease, LeaseTerms, PlatformApi
+from ...leases.tests.fenced_api import FencedApi, be_busy, be_silent
 from ...messages import AskDuty, FetchDemand
 from ...platform import names
 from ...store.tests.conditional import ConditionalStore
-from ...store.tests.scripted import now_s, run_virtual, until
+from ...store.tests.scripted import run_virtual, until
 from .. import ScaledUpstream, ScalingController
 
 _LEASE_S: Final = 3.0
@@ -25,61 +24,6 @@
 _SLOTS: Final = 6
 
 
-@attrs.frozen
-class _Order:
-    at_s: float
-    holder: str
-    token: int
-    domain: str
-    count: int
-
-
-class _Api:
-    """The platform's API, which checks fencing tokens for each domain."""
-
-    def __init__(self) -> None:
-        self.is_silent = False
-        self.status: int | None = None
-        # Delays of following calls that get no answer and are carried out later.
-        self.late_calls_s: list[float] = []
-        self.orders: list[_Order] = []
-        self.counts: dict[str, int] = {}
-        self.calls = 0
-        self._highest: dict[str, int] = {}
-        self._late: set[asyncio.Task[int]] = set()
-
-    async def request(self, fields: Fields, body: bytes) -> Response:
-        self.calls += 1
-        await asyncio.sleep(0.005)
-        if self.is_silent:
-            await asyncio.sleep(3600.0)
-        if self.status is not None:
-            return Response(self.status)
-        if self.late_calls_s:
-            task = asyncio.create_task(
-                self._accept_late(fields, body, self.late_calls_s.pop(0))
-            )
-            self._late.add(task)
-            task.add_done_callback(self._late.discard)
-            await asyncio.sleep(3600.0)
-        return Response(self._accept(fields, body))
-
-    async def _accept_late(self, fields: Fields, body: bytes, delay_s: float) -> int:
-        await asyncio.sleep(delay_s)
-        return self._accept(fields, body)
-
-    def _accept(self, fields: Fields, body: bytes) -> int:
-        sent = json.loads(body)
-        domain, token = sent["zone"], int(first_field(fields, names.FENCING_TOKEN) or 0)
-        if token < self._highest.get(domain, 0):
-            return 409
-        self._highest[domain] = token
-        self.counts[domain] = sent["target-group-count"]
-        holder = first_field(fields, names.DUTY_HOLDER) or ""
-        self.orders.append(_Order(now_s(), holder, token, domain, self.counts[domain]))
-        return 200
-
-
 class _Node:
     """An entry with its part in the duty."""
 
@@ -100,7 +44,7 @@
         self.controller = ScalingController(
             self,
             self,  # type: ignore[arg-type]
-            self,  # type: ignore[arg-type]
+            PlatformApi(self),  # type: ignore[arg-type]
             self.duty,
             lambda: fleet.upstreams,
             lambda: {"lm": self.demand},
@@ -141,7 +85,7 @@
 class _Fleet:
     def __init__(self, scaled: bool = True) -> None:
         self.store = ConditionalStore()
-        self.api = _Api()
+        self.api = FencedApi(lambda body: body["zone"])
         engines = {"a": 2, "b": 2}
         self.upstreams = (
             (ScaledUpstream("lm", _LIMITS, _SLOTS, engines),) if scaled else ()
@@ -158,25 +102,23 @@
 
     @property
     def holder(self) -> _Node:
-        return self.nodes[self.api.orders[-1].holder]
+        return self.nodes[self.api.accepted[-1].holder]
 
     def stop(self) -> None:
         for node in self.nodes.values():
             node.task.cancel()
 
+    @property
+    def counts(self) -> dict[str, int]:
+        """The engines that were last ordered, by failure domain."""
+        orders = [call.body for call in self.api.accepted]
+        return {order["zone"]: order["target-group-count"] for order in orders}
+
     def assert_safe(self) -> None:
-        by_token: dict[tuple[str, int], str] = {}
-        for order in self.api.orders:
-            key = order.domain, order.token
-            assert by_token.setdefault(key, order.holder) == order.holder
-            assert _LIMITS.minimum <= order.count <= _LIMITS.maximum
-        for domain in ("a", "b"):
-            orders = [item for item in self.api.orders if item.domain == domain]
-            for i, first in enumerate(orders):
-                for j in range(i + 1, len(orders)):
-                    for third in orders[j + 1 :]:
-                        if first.holder == third.holder != orders[j].holder:
-                            assert third.at_s - first.at_s >= _LEASE_S
+        for call in self.api.accepted:
+            count = call.body["target-group-count"]
+            assert _LIMITS.minimum <= count <= _LIMITS.maximum
+        self.api.assert_turns(_LEASE_S)
 
 
 Fault = Callable[[_Fleet], Awaitable[None]]
@@ -199,15 +141,11 @@
 
 
 async def _api_silent(fleet: _Fleet) -> None:
-    fleet.api.is_silent = True
-    await asyncio.sleep(4.0)
-    fleet.api.is_silent = False
+    await be_silent(fleet.api)
 
 
 async def _api_busy(fleet: _Fleet) -> None:
-    fleet.api.status = 429
-    await asyncio.sleep(4.0)
-    fleet.api.status = None
+    await be_busy(fleet.api)
 
 
 async def _late_calls(fleet: _Fleet) -> None:
@@ -236,14 +174,14 @@
         fleet.set_demand(24)
         await until(6.0)
         # Two engines a domain are there; the fifth is ordered.
-        assert fleet.api.counts == {"a": 3}
+        assert fleet.counts == {"a": 3}
         await fault(fleet)
         fleet.set_demand(44)
         # A lost entry's own demand is gone with it.
         await until(45.0)
         alive = [node for node in fleet.nodes.values() if not node.is_down]
         demand = sum(node.demand for node in alive)
-        total = sum((fleet.upstreams[0].engines | fleet.api.counts).values())
+        total = sum((fleet.upstreams[0].engines | fleet.counts).values())
         assert total * _SLOTS * 0.8 >= demand
         assert total <= 10
         fleet.stop()
--- a/pistachioglade/serving/_scaling_duty.py
+++ b/pistachioglade/serving/_scaling_duty.py
@@ -9,7 +9,7 @@
 from ..forwarding import FleetView
 from ..http1 import Pool
 from ..jobs import JobOwner
-from ..leases import DUTY_LEASE_KIND, Duty, Lease, LeaseTerms
+from ..leases import DUTY_LEASE_KIND, Duty, Lease, LeaseTerms, PlatformApi
 from ..links import LinkPool
 from ..messages import FetchDemand
 from ..platform import ProcessSettings
@@ -56,7 +56,7 @@
         self._controller = ScalingController(
             members,
             links,
-            Pool(api.host, api.port),
+            PlatformApi(Pool(api.host, api.port)),
             self.duty,
             partial(scaled_upstreams, view),
             self._own_demand,
--- a/pistachioglade/serving/_usage_duty.py
+++ b/pistachioglade/serving/_usage_duty.py
@@ -7,7 +7,7 @@
 
 from ..decisions import ReportTerms
 from ..http1 import Pool
-from ..leases import DUTY_LEASE_KIND, Duty, Lease, LeaseTerms
+from ..leases import DUTY_LEASE_KIND, Duty, Lease, LeaseTerms, PlatformApi
 from ..links import LinkPool
 from ..messages import FetchUsage, UsageCounted, UsageReported
 from ..metrics import Metrics
@@ -60,7 +60,7 @@
         self._reporter = UsageReporter(
             members,
             links,
-            Pool(usage.api.host, usage.api.port),
+            PlatformApi(Pool(usage.api.host, usage.api.port)),
             self.duty,
             terms,
             self._collector,
--- a/pistachioglade/usage/_reporter.py
+++ b/pistachioglade/usage/_reporter.py
@@ -7,21 +7,18 @@
 from typing import Final
 
 from ..decisions import ReportTerms
-from ..errors import ErrorKind, Refusal, refuse
-from ..http1 import Pool, Response
-from ..leases import Duty, Entries
+from ..errors import ErrorKind, Refusal
+from ..leases import Duty, Entries, PlatformApi
 from ..links import LinkPool
 from ..logs import logger
 from ..messages import Acknowledged, UsageReported
 from ..metrics import Metrics
-from ..platform import refusal_of_duty, usage_call
+from ..platform import usage_call
 from ._clock import Clock
 from ._collector import UsageCollector
 from ._counters import UsageCounters
 from ._ledger import LedgerEntry, ReportLedger, decode_ledger
 
-#: Timeout of one call to the platform's API.
-_API_TIMEOUT_S: Final = 1.0
 _LINK_TIMEOUT_S: Final = 0.5
 #: Longest sleep between two looks at the list of entries and at others' reports.
 _MAX_SLEEP_S: Final = 1.0
@@ -38,7 +35,7 @@
         self,
         entries: Entries,
         links: LinkPool,
-        api: Pool,
+        api: PlatformApi,
         duty: Duty,
         terms: ReportTerms,
         collector: UsageCollector,
@@ -155,16 +152,7 @@
         if isinstance(token, Refusal):
             return token
         call = usage_call(window, counts, self._entries.node, token)
-        fields = (("Host", f"{self._api.host}:{self._api.port}"), *call.fields)
-        answer: Response | Refusal
-        try:
-            answer = await self._api.request(
-                "POST", call.path, fields, call.body, _API_TIMEOUT_S
-            )
-        except TimeoutError:
-            reason = f"no answer in {_API_TIMEOUT_S:.2f} s"
-            answer = refuse(ErrorKind.UPSTREAM_LOST, reason)
-        refusal = refusal_of_duty(answer)
+        refusal = await self._api.make(call)
         self._log.info(
             "usage-sent",
             window=window,
--- a/pistachioglade/usage/tests/reporting.py
+++ b/pistachioglade/usage/tests/reporting.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections import Counter, defaultdict
 from collections.abc import Mapping
 from typing import Any, Final
@@ -12,8 +11,9 @@
 
 from ...decisions import ReportTerms
 from ...errors import ErrorKind, Refusal, refuse
-from ...http1 import Fields, Response, first_field
-from ...leases import DUTY_LEASE_KIND, Duty, Lease, LeaseTerms
+from ...http1 import Fields, Response
+from ...leases import DUTY_LEASE_KIND, Duty, Lease, LeaseTerms, PlatformApi
+from ...leases.tests.fenced_api import FencedApi
 from ...messages import AskDuty, FetchUsage, UsageCounted, UsageReported
 from ...metrics import Metrics
 from ...platform import names
@@ -43,59 +43,12 @@
     at_s: float
     # Node that sent the report.
     holder: str
-    # Fencing token.
-    token: int
     # Window, as its number since the start.
     window: int
     # Counts by account.
     counts: dict[str, int]
 
 
-class PlatformApi:
-    """Stand-in for the platform's API, as the connection pool of every entry."""
-
-    def __init__(self, checks_fences: bool) -> None:
-        self._checks_fences = checks_fences
-        self._highest_token = 0
-        # Status of all answers; None while the API works.
-        self.status: int | None = None
-        # Whether no call is answered, or carried out.
-        self.is_silent = False
-        # Delays of following calls that get no answer and are carried out later.
-        self.late_calls_s: list[float] = []
-        self.reports: list[Report] = []
-        self._late: set[asyncio.Task[int]] = set()
-
-    async def request(self, fields: Fields, body: bytes) -> Response:
-        await asyncio.sleep(0.005)
-        if self.is_silent:
-            await asyncio.sleep(3600.0)
-        if self.status is not None:
-            return Response(self.status)
-        if self.late_calls_s:
-            work = self._accept_late(fields, body, self.late_calls_s.pop(0))
-            task = asyncio.create_task(work)
-            self._late.add(task)
-            task.add_done_callback(self._late.discard)
-            await asyncio.sleep(3600.0)
-        return Response(self._accept(fields, body))
-
-    async def _accept_late(self, fields: Fields, body: bytes, delay_s: float) -> int:
-        await asyncio.sleep(delay_s)
-        return self._accept(fields, body)
-
-    def _accept(self, fields: Fields, body: bytes) -> int:
-        token = int(first_field(fields, names.FENCING_TOKEN) or 0)
-        if self._checks_fences and token < self._highest_token:
-            return 409
-        self._highest_token = max(token, self._highest_token)
-        sent = json.loads(body)
-        holder = first_field(fields, names.DUTY_HOLDER) or ""
-        window = sent["window-number"] - TERMS.window_at(START_UNIX_S)
-        self.reports.append(Report(now_s(), holder, token, window, sent["counts"]))
-        return 200
-
-
 class ReportingEntry:
     """An entry whose calls hang while it is frozen or cut off."""
 
@@ -153,7 +106,7 @@
         self.reporter = UsageReporter(
             self,
             self,  # type: ignore[arg-type]
-            self,  # type: ignore[arg-type]
+            PlatformApi(self),  # type: ignore[arg-type]
             self.duty,
             TERMS,
             self.collector,
@@ -259,7 +212,7 @@
     def __init__(self, size: int = 5, checks_fences: bool = True) -> None:
         self.checks_fences = checks_fences
         self.store = ConditionalStore()
-        self.api = PlatformApi(checks_fences)
+        self.api = FencedApi(lambda _body: "usage", checks_fences)
         nodes = [f"entry-{number}-{'abc'[number % 3]}" for number in range(size)]
         self.listed = set(nodes)
         self.entries: dict[str, ReportingEntry] = {}
@@ -268,10 +221,24 @@
         # True number of begun requests by window, as its number since the start.
         self.truth: defaultdict[int, Counter[str]] = defaultdict(Counter)
 
+    @property
+    def reports(self) -> list[Report]:
+        """The reports that the platform has accepted."""
+        first = TERMS.window_at(START_UNIX_S)
+        return [
+            Report(
+                call.at_s,
+                call.holder,
+                call.body["window-number"] - first,
+                call.body["counts"],
+            )
+            for call in self.api.accepted
+        ]
+
     @property
     def holder(self) -> ReportingEntry:
         """The entry that reported last."""
-        return self.entries[self.api.reports[-1].holder]
+        return self.entries[self.reports[-1].holder]
 
     async def serve(self, until_s: float) -> None:
         """Begin requests of all accounts at all entries, a few a second."""
@@ -297,15 +264,11 @@
             entry.kill()
 
     def assert_safe(self) -> None:
-        """Check that reports agree, tokens ascend, and holders don't take turns."""
+        """Check that reports agree, and that holders take no turns."""
         by_window: dict[int, dict[str, int]] = {}
-        by_token: dict[int, str] = {}
-        for report in self.api.reports:
+        for report in self.reports:
             assert by_window.setdefault(report.window, report.counts) == report.counts
-            assert by_token.setdefault(report.token, report.holder) == report.holder
-        for first, second, third in _triples(self.api.reports):
-            if first.holder == third.holder != second.holder:
-                assert third.at_s - first.at_s >= LEASE_S, (first, second, third)
+        self.api.assert_turns(LEASE_S)
 
     def wrong_windows(self, last: int) -> list[int]:
         """Return the windows up to ``last`` that were reported late, off or not at all.
@@ -314,18 +277,8 @@
         """
         right = {
             report.window
-            for report in self.api.reports
+            for report in self.reports
             if report.counts == dict(self.truth[report.window])
             and report.at_s <= (report.window + 1) * TERMS.window_s + TERMS.delay_s
         }
         return [window for window in range(1, last + 1) if window not in right]
-
-
-def _triples(reports: list[Report]) -> list[tuple[Report, Report, Report]]:
-    """Return for each change of holder and back the reports that enclose it."""
-    return [
-        (reports[i], reports[j], reports[k])
-        for i in range(len(reports))
-        for j in range(i + 1, len(reports))
-        for k in range(j + 1, len(reports))
-    ]
--- a/pistachioglade/usage/tests/test_ledger.py
+++ b/pistachioglade/usage/tests/test_ledger.py
@@ -73,8 +73,8 @@
         await fleet.lose(holder.node)
         await until(60.0)
         fleet.stop()
-        assert fleet.api.reports[-1].window >= 9
-        reported = [report.window for report in fleet.api.reports]
+        assert fleet.reports[-1].window >= 9
+        reported = [report.window for report in fleet.reports]
         assert len(set(reported)) == len(reported)
 
     run_virtual(work)
--- a/pistachioglade/usage/tests/test_reports.py
+++ b/pistachioglade/usage/tests/test_reports.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from ...leases.tests.fenced_api import be_busy, be_silent
 from ...store.tests.scripted import now_s, run_virtual, until
 from .reporting import ReportingEntry, ReportingFleet
 
@@ -94,15 +95,11 @@
 
 
 async def _api_silent(fleet: ReportingFleet) -> None:
-    fleet.api.is_silent = True
-    await asyncio.sleep(4.0)
-    fleet.api.is_silent = False
+    await be_silent(fleet.api)
 
 
 async def _api_busy(fleet: ReportingFleet) -> None:
-    fleet.api.status = 429
-    await asyncio.sleep(4.0)
-    fleet.api.status = None
+    await be_busy(fleet.api)
 
 
 async def _late_calls(fleet: ReportingFleet) -> None:
@@ -172,7 +169,7 @@
         await until(14.0)
         while now_s() < 50.0:
             await asyncio.sleep(random.uniform(0.1, 3.0))
-            if fleet.api.reports:
+            if fleet.reports:
                 fault = random.choice(faults_played)
                 faults.append(asyncio.create_task(fault(fleet)))
         await until(75.0)
@@ -180,7 +177,7 @@
         await asyncio.gather(*faults)
         fleet.stop()
         fleet.assert_safe()
-        assert fleet.api.reports[-1].window >= 10
+        assert fleet.reports[-1].window >= 10
 
     run_virtual(work)
 
@@ -211,10 +208,10 @@
     async def work() -> None:
         fleet = ReportingFleet()
         await until(20.0)
-        before, reports = fleet.store.calls, len(fleet.api.reports)
+        before, reports = fleet.store.calls, len(fleet.reports)
         await until(40.0)
         fleet.stop()
-        assert fleet.store.calls - before == len(fleet.api.reports) - reports == 4
+        assert fleet.store.calls - before == len(fleet.reports) - reports == 4
 
     run_virtual(work)
 
