Metrics: configuration in force and its age, duties held

Cause: an entry's scrape did not say which configuration it serves, nor who holds a duty. Change: three gauges.

--- a/pistachioglade/serving/_duties.py
+++ b/pistachioglade/serving/_duties.py
@@ -25,6 +25,12 @@
                 return duty.answer()
         return refuse(ErrorKind.NOT_FOUND, f"no duty {message.duty:.40}")
 
+    @property
+    def held_count(self) -> int:
+        """Number of duties whose lease this entry holds."""
+        duties = (part.duty for part in self._parts)
+        return sum(duty is not None and duty.is_holder for duty in duties)
+
     def register_messages(self, messages: EntryMessages) -> None:
         """Register the answers to the messages about duties."""
         messages.register(AskDuty, self._answer)
--- a/pistachioglade/serving/_entry_gauges.py
+++ b/pistachioglade/serving/_entry_gauges.py
@@ -8,6 +8,7 @@
 from ..metrics import Metrics
 from ..quarantine import CrashLedger
 from ..store import Mirror
+from ._duties import Duties
 
 
 def register_gauges(
@@ -16,7 +17,9 @@
     owner: JobOwner,
     view: FleetView,
     instances: Mirror,
+    configurations: Mirror,
     crashes: CrashLedger,
+    duties: Duties,
 ) -> None:
     """Register an entry's gauges."""
     metrics.register_gauge(
@@ -39,6 +42,21 @@
         "Time since the store last told of the list of instances.",
         lambda: instances.age_s,
     )
+    metrics.register_gauge(
+        "pistachioglade_configuration_version",
+        "Version of the configuration in force; 0 before the first.",
+        lambda: view.configuration.version if view.configuration else 0,
+    )
+    metrics.register_gauge(
+        "pistachioglade_configuration_age_seconds",
+        "Time since the store last told of the configuration.",
+        lambda: configurations.age_s,
+    )
+    metrics.register_gauge(
+        "pistachioglade_duties_held",
+        "Duties towards the platform whose lease this entry holds.",
+        lambda: duties.held_count,
+    )
     metrics.register_gauge(
         "pistachioglade_quarantined_requests",
         "Requests that are refused since instances ended while they ran them.",
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -263,7 +263,9 @@
             self._owner,
             self._view,
             self._instances,
+            self._configurations,
             self._crashes,
+            self._duties,
         )
 
     def _entry_messages(self) -> EntryMessages:
@@ -294,8 +296,7 @@
         reply.send(Response(status))
 
     def _instances_gather_s(self) -> float:
-        has_jobs = bool(self._owner.runs)
-        if has_jobs:
+        if self._owner.runs:
             return _INSTANCES_GATHER_WITH_JOBS_S
         is_relay = self._watch_relays.is_relay
         fraction = RELAY_GATHER_FRACTION if is_relay else _INSTANCES_GATHER_FRACTION
