Usage reports: a stopping holder sends no counts that the ledger lacks

A holder that was stopped while it collected a window acquired its lease anew for the call; the store's payload then replaced the counts that it was about to record, and the next holder, started again behind a total loss of power, counted what was left. Change: a duty's token comes with a confirmation alone (Lease.confirm), never with a new acquisition; without the lease there is no call.

--- a/pistachioglade/leases/_duty.py
+++ b/pistachioglade/leases/_duty.py
@@ -112,7 +112,7 @@
 
         The payload is written with the lease. An entry whose lease was taken rests.
         """
-        token = await self._lease.obtain_token()
+        token = await self._lease.confirm()
         if not isinstance(token, Refusal):
             self._last_call_s = self._now_s()
         elif token.kind is ErrorKind.CONFLICT:
--- a/pistachioglade/leases/_lease.py
+++ b/pistachioglade/leases/_lease.py
@@ -161,16 +161,23 @@
         kind CONFLICT says that another process uses the lease.
         """
         refusal = await self.acquire()
-        if refusal is not None:
-            return refusal
+        return refusal or await self.confirm()
+
+    async def confirm(self) -> int | Refusal:
+        """Return the fencing token as :meth:`obtain_token`, for a lease that is held.
+
+        The payload is then in the store. Acquiring the lease anew would replace the
+        payload, so that a caller that relies on its payload confirms alone.
+        """
+        if self._revision is None:
+            return refuse(ErrorKind.CONFLICT, "the lease was released or lost")
         wait_s = self._first_call_s - self._now_s()
         if wait_s > 0.0:
             return refuse(ErrorKind.FENCED, "the lease was taken just now", wait_s)
         if not self._terms.is_beside:
-            refusal = await self._confirm()
+            refusal = await self._write_confirmation()
             if refusal is not None:
                 return refusal
-        assert self._revision is not None
         self._last_call_s = self._now_s()
         return self._revision
 
@@ -259,7 +266,7 @@
         last_call_s = max(self._last_call_s, self._started_s)
         return takeover_wait_s(self._terms.lease_s, now_s - last_call_s)
 
-    async def _confirm(self) -> Refusal | None:
+    async def _write_confirmation(self) -> Refusal | None:
         begun_s = self._now_s()
         self._confirmations += 1
         # The wait after the previous holder's last call is over. Without the previous
--- a/pistachioglade/usage/tests/test_reports.py
+++ b/pistachioglade/usage/tests/test_reports.py
@@ -230,3 +230,40 @@
             stop,
             _FAULT_S + moment,
         )
+
+
+@pytest.mark.parametrize("checks_fences", [True, False])
+@pytest.mark.parametrize("tenth", range(12))
+def test_a_planned_stop_during_a_report_makes_no_second_report(
+    tenth: int, checks_fences: bool
+) -> None:
+    """The report waits for a frozen entry, so that the holder stops in the middle.
+
+    The holder acquired the lease anew after its release. The payload of the store then
+    replaced the counts that it was about to report, and the next holder counted again.
+    """
+
+    async def work() -> None:
+        fleet = ReportingFleet(checks_fences=checks_fences)
+        serving = asyncio.create_task(fleet.serve(_END_S))
+        await until(17.9)
+        holder = fleet.holder
+        frozen = next(item for item in fleet.entries.values() if item is not holder)
+        freeze = asyncio.create_task(frozen.freeze(1.0))
+        await until(18.0 + tenth / 10)
+        await holder.reporter.stop()
+        holder.is_serving = False
+        await freeze
+        await until(20.0)
+        # All processes start again without their counters, and look at windows that are
+        # not due yet.
+        for entry in fleet.entries.values():
+            entry.kill()
+            entry.start()
+        await until(_END_S)
+        await serving
+        fleet.stop()
+        fleet.assert_safe()
+        assert fleet.reports[-1].window >= _LAST_WINDOW
+
+    run_virtual(work)
