Configuration check: judge the store by the entry's own route to it

Other entries relayed the probes of an entry without the store, so that its store looked a tenth of a second old while its watch was stuck; a relay of changes in that state went on answering its followers. Change: the check and the relays of changes count answers on the entry's own route only.

--- a/pistachioglade/decisions/_configuration_check.py
+++ b/pistachioglade/decisions/_configuration_check.py
@@ -35,7 +35,8 @@
 
     # Whether a relay answers the entry's requests for changes.
     is_relayed: bool
-    # Seconds since the store's last answer by any route; None before the first.
+    # Seconds since the store's last answer on the entry's own route; None before the
+    # first. Answers that other entries relay say nothing of a watch on that route.
     store_age_s: float | None
 
 
--- a/pistachioglade/serving/_configuration_check.py
+++ b/pistachioglade/serving/_configuration_check.py
@@ -63,7 +63,7 @@
         for index in count():
             await asyncio.sleep(round_interval_s(self._bound_s))
             source = ConfigurationSource(
-                self._mirror.is_relayed, self._store.last_answer_age_s
+                self._mirror.is_relayed, self._store.direct_answer_age_s
             )
             asked = entries_to_ask(
                 self._members.node, self._members.names, source, self._bound_s, index
@@ -87,7 +87,7 @@
                 source=node,
                 revision=answer.revision,
                 earlier=self._revision,
-                store_age_s=self._store.last_answer_age_s,
+                store_age_s=self._store.direct_answer_age_s,
             )
             self._mirror.add_relayed(
                 Entry(answer.name, answer.revision, answer.value, None)
--- a/pistachioglade/serving/_watch_relays.py
+++ b/pistachioglade/serving/_watch_relays.py
@@ -100,8 +100,12 @@
 
     @property
     def _is_current(self) -> bool:
-        """Whether the store has answered this entry recently enough for followers."""
-        age_s = self._store.last_answer_age_s
+        """Whether the store has answered this entry recently enough for followers.
+
+        Only answers on the entry's own route count: its watches may be stuck there
+        while other entries relay its calls.
+        """
+        age_s = self._store.direct_answer_age_s
         return age_s is not None and age_s <= self._age_limit_s
 
     async def answer(self, message: FetchChanges) -> ChangePage | Refusal:
--- a/pistachioglade/serving/tests/test_configuration_check.py
+++ b/pistachioglade/serving/tests/test_configuration_check.py
@@ -12,8 +12,10 @@
 import pytest
 
 from ...decisions import FULL_POLICY, Mechanism, Policy, relays_of
+from ...errors import ErrorKind, Refusal, refuse
+from ...http1 import Response
 from ...messages import FetchNewer
-from ...platform import Entry, names
+from ...platform import Entry, StoreCall, names
 from ...store.tests.scripted import Condition, now_s, run_virtual, until
 from .._configuration_check import ConfigurationCheck
 from .test_watch_relays import Fleet, FleetNode
@@ -46,6 +48,19 @@
         for node in nodes:
             node.connection.set_condition(condition)
 
+    def relay_reads(self, nodes: list[FleetNode]) -> None:
+        """Let another entry relay the nodes' reads; their watches get no answer."""
+        healthy = next(node for node in self.alive if node not in nodes)
+
+        async def relay(call: StoreCall, timeout_s: float) -> Response | Refusal:
+            if call.is_watch:
+                await asyncio.sleep(timeout_s)
+                return refuse(ErrorKind.UPSTREAM_LOST, "no answer")
+            return await healthy.client.call_directly(call, timeout_s)
+
+        for node in nodes:
+            node.client.relays = lambda: (relay,)
+
     def revisions(self) -> list[int]:
         return [node.mirror.entries[NAME].revision for node in self.alive]
 
@@ -61,8 +76,13 @@
 @pytest.mark.parametrize("with_relays", [True, False])
 @pytest.mark.parametrize("condition", [Condition.SILENT, Condition.REFUSED])
 @pytest.mark.parametrize("lead_tenths", range(0, 16, 3))
+@pytest.mark.parametrize("has_relayed_reads", [True, False])
 def test_a_change_is_in_force_in_time_at_entries_without_the_store(
-    size: int, with_relays: bool, condition: Condition, lead_tenths: int
+    size: int,
+    with_relays: bool,
+    condition: Condition,
+    lead_tenths: int,
+    has_relayed_reads: bool,
 ) -> None:
     """The store is lost to a third, some time before the change."""
 
@@ -70,7 +90,10 @@
         fleet = _CheckedFleet(size)
         fleet.store.put(KIND, NAME, {"version": 1})
         await until(10.0 + lead_tenths / 20)
-        fleet.silence(_third(fleet, with_relays), condition)
+        cut_off = _third(fleet, with_relays)
+        fleet.silence(cut_off, condition)
+        if has_relayed_reads:
+            fleet.relay_reads(cut_off)
         await asyncio.sleep(lead_tenths / 10)
         fleet.store.put(KIND, NAME, {"version": 2})
         await until(now_s() + BOUND_S)
--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -224,6 +224,13 @@
             return None
         return asyncio.get_running_loop().time() - self.any_answered_s
 
+    @property
+    def direct_answer_age_s(self) -> float | None:
+        """Seconds since the last answer on this node's own route; None before any."""
+        if self.direct_answered_s is None:
+            return None
+        return asyncio.get_running_loop().time() - self.direct_answered_s
+
     def _is_direct_in_cooldown(self) -> bool:
         now_s = asyncio.get_running_loop().time()
         return self._failed_s is not None and now_s - self._failed_s < _COOLDOWN_S
