Messages that earlier builds don't know go to entries that list them

Cause: tests.other_build against: entries of that build refused and logged FetchNewer (8 of 10 cases failed). Change: an entry's listing names its set of messages; configuration checks and duties know only entries with this set.

--- a/pistachioglade/serving/_configuration_check.py
+++ b/pistachioglade/serving/_configuration_check.py
@@ -14,12 +14,12 @@
     entries_to_ask,
     round_interval_s,
 )
+from ..leases import Entries
 from ..links import LinkPool
 from ..logs import logger
 from ..messages import Acknowledged, FetchNewer, StoredRecord
 from ..platform import Entry, names
 from ..store import Mirror, StoreClient
-from ._members import Members
 
 #: Timeout of one request. The next round asks other entries.
 _CALL_TIMEOUT_S: Final = 0.5
@@ -34,14 +34,14 @@
 
     def __init__(
         self,
-        members: Members,
+        entries: Entries,
         links: LinkPool,
         store: StoreClient,
         mirror: Mirror,
         bound_s: float,
         policy: Policy = FULL_POLICY,
     ) -> None:
-        self._members = members
+        self._entries = entries
         self._links = links
         self._store = store
         self._mirror = mirror
@@ -66,7 +66,7 @@
                 self._mirror.is_relayed, self._store.direct_answer_age_s
             )
             asked = entries_to_ask(
-                self._members.node, self._members.names, source, self._bound_s, index
+                self._entries.node, self._entries.names, source, self._bound_s, index
             )
             # A round doesn't wait for the answers: an entry that is cut off as well
             # would delay the next round.
@@ -79,7 +79,7 @@
         message = FetchNewer(
             names.CONFIGURATION_KIND, names.CONFIGURATION_NAME, self._revision
         )
-        address = self._members.address_of_node(node)
+        address = self._entries.address_of_node(node)
         answer = await self._links.call(address, message, _CALL_TIMEOUT_S)
         if isinstance(answer, StoredRecord) and answer.revision > self._revision:
             self._log.info(
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -95,7 +95,6 @@
         self._address = f"{settings.host}:{settings.internal_port}"
         identity = Identity(settings.node, SHARED_SECRET)
         links = LinkPool(identity)
-        own_name = f"{settings.node}@{self._address}"
         self._members = Members(
             settings.node,
             self._address,
@@ -106,7 +105,8 @@
             policy,
             settings.domain,
         )
-        usage = UsageDuty(settings, boot, self._members, self._store, links, metrics)
+        current = self._members.current
+        usage = UsageDuty(settings, boot, current, self._store, links, metrics)
         is_bounded = policy.uses(Mechanism.RETRY_BUDGET)
         budget = RetryBudget(RETRY_PERCENT if is_bounded else _UNBOUNDED_PERCENT)
         self._crashes = CrashLedger()
@@ -122,14 +122,14 @@
         streams = StreamForwarder(*forwarding)
         self._ledger = JobLedger()
         reader = JobReader(
-            own_name,
+            self._members.own_name,
             self._ledger,
             self._store,
             links,
             lambda job_id: job_id in self._owner.runs,
         )
         self._owner = JobOwner(
-            own_name,
+            self._members.own_name,
             boot,
             self._view,
             self._ledger,
@@ -143,7 +143,7 @@
         scaling = ScalingDuty(
             settings,
             boot,
-            self._members,
+            current,
             self._view,
             self._owner,
             self._store,
@@ -225,7 +225,7 @@
             follow=self._watch_relays.fetch_changes,
         )
         self._configuration_check = ConfigurationCheck(
-            self._members,
+            self._members.current,
             links,
             self._store,
             self._configurations,
--- a/pistachioglade/serving/_members.py
+++ b/pistachioglade/serving/_members.py
@@ -21,7 +21,7 @@
 from ..fleet import Instance
 from ..forwarding import FleetView
 from ..logs import logger
-from ..platform import Entry
+from ..platform import Entry, is_integer
 from ..store import Mirror, StoreClient
 
 #: Kind of the objects by which entries list themselves in the store.
@@ -31,6 +31,9 @@
 _MEMBERS_GATHER_S: Final = 0.8
 #: Pause before this entry's listing is checked or a failed write is retried.
 _LISTING_PAUSE_S: Final = 0.5
+#: Number of the set of messages that this build knows. An entry of an earlier build,
+#: whose listing has none, refuses and logs the messages that were added since.
+_KNOWN_MESSAGES: Final = 2
 #: Time for which an entry that didn't answer gets no new jobs. By then three probes by
 #: the ring neighbour have failed, and the neighbour has removed the listing.
 _UNREACHABLE_COOLDOWN_S: Final = 3.0
@@ -46,6 +49,8 @@
     capacity: float
     # Failure domain; empty in the listings of builds that name none.
     domain: str = ""
+    # Number of the set of messages that the entry knows.
+    messages: int = 1
 
 
 def decode_listing(value: Any) -> Listing | Refusal:
@@ -56,8 +61,13 @@
     if not isinstance(address, str) or not address or not is_number:
         return refuse(ErrorKind.UNREADABLE, "a listing without address or capacity")
     assert isinstance(capacity, int | float)
-    domain = fields.get("domain")
-    return Listing(address, float(capacity), domain if isinstance(domain, str) else "")
+    domain, messages = fields.get("domain"), fields.get("messages")
+    return Listing(
+        address,
+        float(capacity),
+        domain if isinstance(domain, str) else "",
+        messages if is_integer(messages) else 1,
+    )
 
 
 class Members:
@@ -84,6 +94,7 @@
             "boot": boot,
             "capacity": capacity,
             "domain": domain,
+            "messages": _KNOWN_MESSAGES,
         }
         self._store = store
         self._view = view
@@ -155,6 +166,16 @@
         """The node names of all listed entries."""
         return tuple(self._listings)
 
+    @property
+    def current(self) -> CurrentEntries:
+        """The entries that know the messages about configurations and duties."""
+        return CurrentEntries(self)
+
+    def knows_messages(self, node: str) -> bool:
+        """Whether an entry knows all messages that this build sends."""
+        listing = self._listings.get(node)
+        return listing is not None and listing.messages >= _KNOWN_MESSAGES
+
     @property
     def domains(self) -> dict[str, str]:
         """The failure domain of each listed entry, by node name."""
@@ -237,3 +258,27 @@
     def is_announcer(self, upstream: str, model: str) -> bool:
         """Whether this entry announces a model's versions."""
         return self.choose_owner(upstream, model, 0) == self.own_name
+
+
+class CurrentEntries:
+    """The listed entries without those of earlier builds."""
+
+    def __init__(self, members: Members) -> None:
+        self._members = members
+        # Node name of this entry.
+        self.node = members.node
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """The node names of the entries."""
+        return tuple(filter(self._members.knows_messages, self._members.names))
+
+    @property
+    def domains(self) -> dict[str, str]:
+        """The failure domain of each entry, by node name."""
+        domains = self._members.domains
+        return {name: domains[name] for name in self.names}
+
+    def address_of_node(self, node: str) -> str:
+        """Return the address of an entry; empty if it isn't listed."""
+        return self._members.address_of_node(node)
--- a/pistachioglade/serving/_scaling_duty.py
+++ b/pistachioglade/serving/_scaling_duty.py
@@ -9,14 +9,13 @@
 from ..forwarding import FleetView
 from ..http1 import Pool
 from ..jobs import JobOwner
-from ..leases import DUTY_LEASE_KIND, Duty, Lease, LeaseTerms, PlatformApi
+from ..leases import DUTY_LEASE_KIND, Duty, Entries, Lease, LeaseTerms, PlatformApi
 from ..links import LinkPool
 from ..messages import FetchDemand
 from ..platform import ProcessSettings
 from ..scaling import ScalingController, scaled_upstreams
 from ..store import StoreClient
 from ._entry_messages import EntryMessages
-from ._members import Members
 
 #: Name of the duty and of its lease.
 DUTY_NAME: Final = "scaling"
@@ -29,7 +28,7 @@
         self,
         settings: ProcessSettings,
         boot: str,
-        members: Members,
+        entries: Entries,
         view: FleetView,
         owner: JobOwner,
         store: StoreClient,
@@ -52,9 +51,9 @@
             may_call_at_once=True,
         )
         lease = Lease(store, terms, settings.node, boot)
-        self.duty = Duty(DUTY_NAME, members, links, lease)
+        self.duty = Duty(DUTY_NAME, entries, links, lease)
         self._controller = ScalingController(
-            members,
+            entries,
             links,
             PlatformApi(Pool(api.host, api.port)),
             self.duty,
--- a/pistachioglade/serving/_usage_duty.py
+++ b/pistachioglade/serving/_usage_duty.py
@@ -7,7 +7,7 @@
 
 from ..decisions import ReportTerms
 from ..http1 import Pool
-from ..leases import DUTY_LEASE_KIND, Duty, Lease, LeaseTerms, PlatformApi
+from ..leases import DUTY_LEASE_KIND, Duty, Entries, Lease, LeaseTerms, PlatformApi
 from ..links import LinkPool
 from ..messages import FetchUsage, UsageCounted, UsageReported
 from ..metrics import Metrics
@@ -22,7 +22,6 @@
     UsageReporter,
 )
 from ._entry_messages import EntryMessages
-from ._members import Members
 
 #: Name of the duty and of its lease.
 DUTY_NAME: Final = "usage"
@@ -35,7 +34,7 @@
         self,
         settings: ProcessSettings,
         boot: str,
-        members: Members,
+        entries: Entries,
         store: StoreClient,
         links: LinkPool,
         metrics: Metrics,
@@ -48,17 +47,17 @@
         )
         # Counts the requests that instances begin.
         self.meter = UsageMeter(counters, clock, terms)
-        self._copies = UsageCopies(members, links, counters)
+        self._copies = UsageCopies(entries, links, counters)
         self._reporter: UsageReporter | None = None
         # The duty; None if the platform wants no reports.
         self.duty: Duty | None = None
         if usage is None or terms is None:
             return
-        self._collector = UsageCollector(members, links, counters, clock, terms)
+        self._collector = UsageCollector(entries, links, counters, clock, terms)
         lease = Lease(store, _lease_terms(settings), settings.node, boot)
-        self.duty = Duty(DUTY_NAME, members, links, lease)
+        self.duty = Duty(DUTY_NAME, entries, links, lease)
         self._reporter = UsageReporter(
-            members,
+            entries,
             links,
             PlatformApi(Pool(usage.api.host, usage.api.port)),
             self.duty,
