Samples: a new owner continues the crash counts of the earlier one

A sample that crashes engines is delayed by 1 to 4 s from the third crash in a row on. The count was kept in the run of the job's owner only. When an owner stopped as planned after the fourth crash, its successor lost three engines to the same sample within 33 ms (0.071, 0.091 and 0.104 s after SIGTERM) and a fourth 1.1 s later; an upstream of three engines is empty by then. The texts that a new owner asks for hold no such sample, since it has no event.

The counts have a message of their own: builds refuse messages with fields that they don't know, so that a field more in SampleTexts would lose texts in a rolling update. An earlier owner of a build without the message doesn't answer it, which delays the new owner's start by the timeout of 0.4 s (read, not run).

--- a/pistachioglade/jobs/_job_run.py
+++ b/pistachioglade/jobs/_job_run.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter, defaultdict
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, Final
 
 from ..decisions import (
@@ -268,6 +268,9 @@
                 sample.crashes = 0
             return
         sample.crashes += 1
+        self._delay_after_crashes(sample)
+
+    def _delay_after_crashes(self, sample: Sample) -> None:
         pause_s = sample_pause_s(sample.crashes)
         if pause_s > 0.0:
             sample.not_before_s = asyncio.get_running_loop().time() + pause_s
@@ -310,6 +313,21 @@
             if record.score is not None:
                 self.finish(sample, sample.result(record.score))
 
+    def crash_counts(self) -> dict[str, int]:
+        """Return the consecutive crashes of samples that have any, by item id."""
+        return {
+            item_id: sample.crashes
+            for item_id, sample in self.samples.items()
+            if sample.crashes
+        }
+
+    def adopt_crashes(self, by_item: Mapping[str, int]) -> None:
+        """Continue the crash counts of an earlier owner, and its pauses."""
+        for item_id in by_item.keys() & self.samples.keys():
+            sample = self.samples[item_id]
+            sample.crashes = by_item[item_id]
+            self._delay_after_crashes(sample)
+
     def adopt_carried_texts(self, carried: CarriedTexts) -> None:
         """Continue texts that ended jobs left, and start their groups first."""
         texts = carried.pop_texts(sample.item.id for sample in self.samples.values())
--- a/pistachioglade/jobs/_owner.py
+++ b/pistachioglade/jobs/_owner.py
@@ -178,9 +178,12 @@
                 )
                 await run.fence_earlier_writers()
                 # The earlier owner is asked last, since its samples run until then.
-                texts = longest_texts(
-                    [stored, await self._read_texts_of_earlier_owner(state)]
+                handed_over, crashes = await asyncio.gather(
+                    self._read_texts_of_earlier_owner(state),
+                    self._reader.fetch_crashes(state),
                 )
+                texts = longest_texts([stored, handed_over])
+                run.adopt_crashes(crashes)
         finally:
             del self._starting[state.id]
         if state.is_open and state.owner == self.name and self._scheduler.is_enabled:
@@ -238,6 +241,10 @@
         is_new = state.first_seen_s > self.enabled_s
         return state.may_lack_results or not (is_first_owner and is_new)
 
+    def find_run(self, job_id: str) -> JobRun | None:
+        """Return the run of a job that is run here or was handed over."""
+        return self.runs.get(job_id) or self._handed_over.get(job_id)
+
     def disable(self) -> None:
         """Start no more samples and runs, as at a planned stop."""
         self._scheduler.is_enabled = False
--- a/pistachioglade/jobs/_reader.py
+++ b/pistachioglade/jobs/_reader.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 from ..errors import ErrorKind, Refusal, refuse
@@ -11,9 +11,11 @@
 from ..logs import logger
 from ..messages import (
     FetchResults,
+    FetchSampleCrashes,
     FetchSent,
     FetchTexts,
     ResultPage,
+    SampleCrashes,
     SampleTexts,
     SentFields,
 )
@@ -217,6 +219,18 @@
         answer = await self._call_owner(owner, FetchTexts(job_id), _REQUEST_TIMEOUT_S)
         return answer if isinstance(answer, SampleTexts) else SampleTexts(())
 
+    async def fetch_crashes(self, state: JobState) -> Mapping[str, int]:
+        """Return the crashes of a job's samples by item id, as of the earlier owner.
+
+        Returns none if the earlier owner is gone or is of a build that can't tell.
+        """
+        owner = state.earlier_owner
+        if not state.is_earlier_alive or owner in ("", self._own_name):
+            return {}
+        message = FetchSampleCrashes(state.id)
+        answer = await self._call_owner(owner, message, _REQUEST_TIMEOUT_S)
+        return answer.by_item if isinstance(answer, SampleCrashes) else {}
+
     async def read_owner(self, job_id: str) -> Entry | Refusal:
         """Read the object that names a job's changed owner."""
         return await self._store.read(
--- a/pistachioglade/jobs/tests/test_takeover.py
+++ b/pistachioglade/jobs/tests/test_takeover.py
@@ -24,6 +24,7 @@
 from .._carried_texts import CarriedTexts
 from .._job_run import JobRun
 from .._records import TEXT_KIND
+from .._sample_try import TryEnd, TryResult
 from .._text_saver import longest_texts
 
 _ROUTE = {
@@ -122,6 +123,29 @@
     run(work)
 
 
+def test_the_new_owner_delays_a_sample_that_has_crashed_engines() -> None:
+    """Guards against crash counts that start from zero with each owner.
+
+    A new owner lost three engines within 40 ms to a sample that the earlier owner
+    started every 2 s only.
+    """
+
+    async def work() -> None:
+        async with served_store() as store:
+            ledger = JobLedger()
+            first = _run_of(ledger, store.client(), "old")
+            crash = TryResult(TryEnd.BROKEN, "lost", is_crash=True)
+            for _ in range(3):
+                first.record_try(first.samples["i0"], crash)
+            second = _run_of(ledger, store.client(), "new")
+            second.adopt_crashes(first.crash_counts())
+            assert {item.item_id for item in second.pending()} == {"i1"}
+            second.record_try(second.samples["i0"], crash)
+            assert second.crash_counts() == {"i0": 4}
+
+    run(work)
+
+
 def test_texts_of_an_ended_job_lose_their_scores() -> None:
     carried = CarriedTexts()
     record = TextRecord("i0", ("a",), 0, (3,), 0, "score")
--- a/pistachioglade/messages/_entries.py
+++ b/pistachioglade/messages/_entries.py
@@ -233,6 +233,22 @@
     texts: tuple[TextRecord, ...]
 
 
+@attrs.frozen
+class FetchSampleCrashes:
+    """Ask the node that ran a job for the crashes of its samples."""
+
+    # Id of the job.
+    job_id: str
+
+
+@attrs.frozen
+class SampleCrashes:
+    """Consecutive crashes of those samples of a job that have no result yet."""
+
+    # Item id to number of crashes; only samples that have crashed engines.
+    by_item: dict[str, int]
+
+
 @attrs.frozen
 class RelayCall:
     """Ask an entry to relay a call to the store, which the sender can't reach."""
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -33,6 +33,7 @@
     Acknowledged,
     AskHome,
     FetchResults,
+    FetchSampleCrashes,
     FetchSent,
     FetchTexts,
     HomeAnswer,
@@ -40,6 +41,7 @@
     Probe,
     ProbeAnswer,
     ResultPage,
+    SampleCrashes,
     SamplesRunning,
     SampleTexts,
     SentFields,
@@ -111,6 +113,7 @@
         messages.register(StoredRecord, self._accept_record)
         messages.register(SamplesRunning, self._record_samples)
         messages.register(FetchTexts, self._answer_texts)
+        messages.register(FetchSampleCrashes, self._answer_sample_crashes)
         messages.register(InstancesCrashed, self._record_crashes)
 
     async def _answer_probe(self, message: Probe) -> ProbeAnswer:
@@ -188,6 +191,10 @@
     async def _answer_texts(self, message: FetchTexts) -> SampleTexts:
         return self._owner.hand_over_texts(message.job_id)
 
+    def _answer_sample_crashes(self, message: FetchSampleCrashes) -> SampleCrashes:
+        run = self._owner.find_run(message.job_id)
+        return SampleCrashes({} if run is None else run.crash_counts())
+
     async def _record_crashes(self, message: InstancesCrashed) -> Acknowledged:
         self._crashes.record_reported(message.request_digest, message.instances)
         return Acknowledged()
