Links: refuse calls to invalid addresses instead of raising

A listing of an entry is accepted with any text as its address. For an address such as 127.0.0.1:99999 or a..b:80 the library raises ValueError or UnicodeError as the link is opened, and LinkPool.call, which returns a refusal for every other failure, passed the error on. It ended the task that made the call: the probe of the neighbour failed eight times, after which the supervisor stopped the entry. With two entries and one such listing between them, the second entry exited with code 0 within 18 s, and the first one then probed the same listing (six failures by that time).

The error is now a refusal like that of an address that nobody listens at, so that the neighbour is found lost and its listing removed. Crash records were affected as well: a broadcast that raises ends the task that writes them.

--- a/pistachioglade/links/_client.py
+++ b/pistachioglade/links/_client.py
@@ -156,7 +156,8 @@
         except ConnectionRefusedError as error:
             # The machine is up, but no process listens on that port.
             return refuse(ErrorKind.LINK_REFUSED, f"no link to {address}: {error}")
-        except (OSError, TimeoutError, WebSocketException) as error:
+        except (OSError, TimeoutError, ValueError, WebSocketException) as error:
+            # An address from a listing may be invalid, which raises a ValueError.
             reason = f"no link to {address}: {type(error).__name__}: {error}"
             return refuse(ErrorKind.LINK_NOT_OPEN, reason)
         return Link(connection, self.traffic)
--- a/pistachioglade/links/tests/test_pool.py
+++ b/pistachioglade/links/tests/test_pool.py
@@ -5,9 +5,11 @@
 import asyncio
 from contextlib import AsyncExitStack
 
+import pytest
+
 from soak._relay import Relay, RelayMode
 
-from ...errors import ErrorKind
+from ...errors import ErrorKind, Refusal
 from ...messages import Probe
 from ...store.tests.served import run
 from .. import Identity, LinkPool
@@ -51,3 +53,15 @@
             await pool.close()
 
     run(work)
+
+
+@pytest.mark.parametrize("address", ["", "h:99999", "h:abc", "[::1", "a..b:80"])
+def test_a_call_to_an_invalid_address_is_refused(address: str) -> None:
+    """Guards against an error that ends the task that makes the call."""
+
+    async def work() -> None:
+        answer = await LinkPool(Identity("a", "")).call(address, Probe(), 0.4)
+        assert isinstance(answer, Refusal)
+        assert answer.kind is ErrorKind.LINK_NOT_OPEN
+
+    run(work)
