Crash reports: repeat them until each entry has acknowledged them

Callers crashed up to six instances with one request while the store was down: an entry that had missed the only report of the crashes ran the request again, and learnt of them only when the store was back.

Cause: a set of crashes counted as broadcast before it was delivered, the outcome of each call was ignored, and the set was never sent again. An entry that stood still, whose link was lost or that was listed a moment later stayed without it. The sending tasks were not supervised, so that an error in one ended without a log line.

CrashReports now sends the crashes that the store doesn't hold to each entry, keeps what each has acknowledged, and repeats the rest every 0.25 s until it is acknowledged or stored. A later crash doesn't wait for the answer to an earlier report. An entry that can't be reached gets four reports at a time. The log says when all entries that answer know the crashes (crashes-shared), which entry couldn't be told (crashes-not-reported) and what an entry was told (crashes-received).

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -35,13 +35,13 @@
 from ._connection_limits import connection_limit, connection_wait_s
 from ._connection_reuse import prefer_idle_connection
 from ._crash_quarantine import (
-    SUSPECT_CRASHES,
     Admission,
     AdmissionDecision,
     CrashHistory,
     decide_admission,
     history_retention_s,
     is_quarantined,
+    report_delay_s,
     sample_pause_s,
 )
 from ._engine_counts import DemandHistory, EngineLimits, engine_counts
@@ -199,7 +199,6 @@
     "RELAY_SEARCH_INTERVAL_S",
     "RELAY_TRANSFER_S",
     "RETRY_PERCENT",
-    "SUSPECT_CRASHES",
     "WITHOUT_VARIABLE",
     "AdaptiveTimeout",
     "Admission",
@@ -331,6 +330,7 @@
     "relays_to_use",
     "remaining_tokens",
     "rendezvous_order",
+    "report_delay_s",
     "restart_pause_s",
     "round_interval_s",
     "sample_pause_s",
--- a/pistachioglade/decisions/_crash_quarantine.py
+++ b/pistachioglade/decisions/_crash_quarantine.py
@@ -29,6 +29,9 @@
 #: Retry-After while another run of the request is in progress, and the minimum of
 #: every Retry-After.
 _RUN_WAIT_S: Final = 0.2
+#: Time that the write of a request's first crash may take before the other entries are
+#: told directly. The store usually answers sooner, and tells them by their watches.
+_FIRST_REPORT_DELAY_S: Final = 0.05
 #: First pause of a sample that has crashed engines.
 _SAMPLE_PAUSE_S: Final = 1.0
 #: Maximum number of doublings of that pause. Keeps the longest pause below five
@@ -117,6 +120,15 @@
     )
 
 
+def report_delay_s(crashes: int) -> float:
+    """Return how long after a crash other entries are told of it, if it isn't stored.
+
+    An entry that doesn't know of a suspect request's crashes runs the request at
+    further instances, so these crashes are reported without waiting for the store.
+    """
+    return 0.0 if crashes >= SUSPECT_CRASHES else _FIRST_REPORT_DELAY_S
+
+
 def sample_pause_s(crashes: int) -> float:
     """Return the pause after a sample's latest crash in a row.
 
--- a/pistachioglade/quarantine/_ledger.py
+++ b/pistachioglade/quarantine/_ledger.py
@@ -72,6 +72,11 @@
             return self.local_trials
         return 0 if self.stored.instances & self.cleared else self.stored.trials
 
+    @property
+    def unstored(self) -> frozenset[str]:
+        """Observed instances that the store's record lacks."""
+        return frozenset(self.observed) - self._stored_instances - self.cleared
+
     @property
     def instances_to_store(self) -> frozenset[str]:
         """Instances that the store's record should contain."""
@@ -117,6 +122,11 @@
         """Return the record of a request; None if there is none."""
         return self._records.get(digest)
 
+    def unstored_instances(self, digest: str) -> frozenset[str]:
+        """Return the observed crashes of a request that the store doesn't hold yet."""
+        record = self._records.get(digest)
+        return _NO_INSTANCES if record is None else record.unstored
+
     def unwritten(self) -> list[str]:
         """Return the digests whose records in the store are out of date."""
         return [name for name, record in self._records.items() if record.is_unwritten]
@@ -182,6 +192,12 @@
             return
         record.reported |= set(instances)
         record.changed_s = self._now_s()
+        self._log.info(
+            "crashes-received",
+            request_digest=digest,
+            crashes=len(record.instances),
+            is_quarantined=is_quarantined(len(record.instances)),
+        )
 
     def record_answer(self, digest: str) -> None:
         """Clear a request's crashes because an instance has answered it."""
--- /dev/null
+++ b/pistachioglade/quarantine/_reports.py
@@ -0,0 +1,184 @@
+"""Reports crashes that the store doesn't hold yet to the other entries."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Collection
+from itertools import product
+from typing import Final
+
+import attrs
+
+from ..decisions import report_delay_s
+from ..logs import logger
+from ._ledger import CrashLedger
+
+#: Interval at which unacknowledged reports are repeated and new entries are looked for.
+_REPEAT_INTERVAL_S: Final = 0.25
+#: Maximum number of unanswered reports to an entry whose last report was acknowledged.
+_MAX_IN_FLIGHT: Final = 64
+#: The same for any other entry. Each report to an entry that can't be reached makes
+#: another attempt to connect, one after the other.
+_MAX_IN_FLIGHT_UNPROVEN: Final = 4
+
+#: Sends a request's digest and its crashed instances to the named entry; returns
+#: whether the entry acknowledged them.
+SendReport = Callable[[str, str, frozenset[str]], Awaitable[bool]]
+
+
+@attrs.define(eq=False)
+class _Peer:
+    """Another entry, and what it has acknowledged."""
+
+    # Digests of the requests to report, in order.
+    pending: dict[str, None] = attrs.field(factory=dict)
+    # Crashed instances that the entry has acknowledged, by request digest.
+    acknowledged: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    # Number of reports without an answer yet.
+    in_flight: int = 0
+    # Whether the last report was acknowledged; None before the first outcome.
+    is_reachable: bool | None = None
+
+    @property
+    def has_capacity(self) -> bool:
+        """Whether another report may be sent now."""
+        limit = _MAX_IN_FLIGHT if self.is_reachable else _MAX_IN_FLIGHT_UNPROVEN
+        return self.in_flight < limit
+
+    def knows(self, digest: str, instances: frozenset[str]) -> bool:
+        """Whether the entry has acknowledged these crashes."""
+        return instances <= self.acknowledged.get(digest, frozenset())
+
+
+class CrashReports:
+    """Reports unstored crashes to each other entry until the entry acknowledges them.
+
+    An entry that doesn't know of the crashes sends the request to further instances.
+    While the store is down, only these reports tell it.
+    """
+
+    def __init__(
+        self,
+        ledger: CrashLedger,
+        entry_names: Callable[[], Collection[str]],
+        send: SendReport,
+    ) -> None:
+        self._ledger = ledger
+        # Returns the names of the other listed entries.
+        self._entry_names = entry_names
+        self._send = send
+        self._log = logger(__name__)
+        self._peers: dict[str, _Peer] = {}
+        # Requests with reported crashes that the store may not hold yet.
+        self._reported: set[str] = set()
+        self._has_reported = asyncio.Event()
+        # Reports without an answer yet.
+        self._sending: set[asyncio.Task[None]] = set()
+        ledger.on_crash.append(self._schedule)
+
+    def _schedule(self, digest: str) -> None:
+        """Report a request's crashes as soon as they are due."""
+        record = self._ledger.find(digest)
+        delay_s = report_delay_s(0 if record is None else len(record.instances))
+        if delay_s > 0.0:
+            asyncio.get_running_loop().call_later(delay_s, self._report, digest)
+        else:
+            self._report(digest)
+
+    def _report(self, digest: str) -> None:
+        if not self._ledger.unstored_instances(digest):
+            return
+        self._reported.add(digest)
+        self._has_reported.set()
+        self._update_peers()
+        for name, peer in self._peers.items():
+            peer.pending[digest] = None
+            self._send_pending(name, peer)
+
+    def _update_peers(self) -> None:
+        """Follow the list of entries; a newly listed entry gets all reports."""
+        names = self._entry_names()
+        self._peers = {
+            name: self._peers.get(name) or _Peer(dict.fromkeys(self._reported))
+            for name in names
+        }
+
+    def _send_pending(self, name: str, peer: _Peer) -> None:
+        while peer.pending and peer.has_capacity:
+            digest = next(iter(peer.pending))
+            del peer.pending[digest]
+            record = self._ledger.find(digest)
+            unstored = self._ledger.unstored_instances(digest)
+            if record is None or peer.knows(digest, unstored):
+                continue
+            peer.in_flight += 1
+            work = self._send_one(name, peer, digest, record.instances)
+            task = asyncio.get_running_loop().create_task(work)
+            self._sending.add(task)
+            task.add_done_callback(self._finish)
+
+    async def _send_one(
+        self, name: str, peer: _Peer, digest: str, instances: frozenset[str]
+    ) -> None:
+        is_acknowledged = False
+        try:
+            is_acknowledged = await self._send(name, digest, instances)
+        finally:
+            peer.in_flight -= 1
+            peer.is_reachable = is_acknowledged
+            if is_acknowledged:
+                known = peer.acknowledged.get(digest, frozenset())
+                peer.acknowledged[digest] = known | instances
+            else:
+                # A process that has been replaced knows nothing of earlier reports.
+                peer.acknowledged.clear()
+                peer.pending |= dict.fromkeys(self._reported)
+        if is_acknowledged:
+            self._send_pending(name, peer)
+        if is_acknowledged and self._is_shared(digest):
+            self._log.info(
+                "crashes-shared",
+                request_digest=digest,
+                crashes=len(instances),
+                entries=sum(item.is_reachable is True for item in self._peers.values()),
+                unreachable=sum(
+                    item.is_reachable is False for item in self._peers.values()
+                ),
+            )
+
+    def _finish(self, task: asyncio.Task[None]) -> None:
+        self._sending.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            # The next repetition sends the report again.
+            self._log.error("crash-report-failed", exc_info=error)
+
+    async def run(self) -> None:
+        """Repeat unacknowledged reports until the store holds the crashes, forever."""
+        while True:
+            await self._has_reported.wait()
+            await asyncio.sleep(_REPEAT_INTERVAL_S)
+            self._drop_stored()
+            self._update_peers()
+            for name, peer in self._peers.items():
+                self._send_pending(name, peer)
+
+    def _drop_stored(self) -> None:
+        stored = {
+            digest
+            for digest in self._reported
+            if not self._ledger.unstored_instances(digest)
+        }
+        self._reported -= stored
+        for peer, digest in product(self._peers.values(), stored):
+            peer.pending.pop(digest, None)
+            peer.acknowledged.pop(digest, None)
+        if not self._reported:
+            self._has_reported.clear()
+
+    def _is_shared(self, digest: str) -> bool:
+        """Whether each entry that answers has acknowledged a request's crashes."""
+        unstored = self._ledger.unstored_instances(digest)
+        return all(
+            peer.is_reachable is False or peer.knows(digest, unstored)
+            for peer in self._peers.values()
+        )
--- a/pistachioglade/quarantine/_store_records.py
+++ b/pistachioglade/quarantine/_store_records.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
-from ..decisions import SUSPECT_CRASHES
 from ..errors import ErrorKind, Refusal, refuse
 from ..logs import logger
 from ..platform import Entry
@@ -19,8 +18,6 @@
 _CREATE_TIMEOUT_S: Final = 0.5
 #: Timeout for claiming a trial run, during which the caller waits.
 _CLAIM_TIMEOUT_S: Final = 0.3
-#: Duration of a write after which crashes are broadcast to other entries.
-_BROADCAST_DELAY_S: Final = 0.05
 #: Consecutive attempts to write one record when other entries write it too.
 _WRITE_ATTEMPTS: Final = 4
 #: Pause before failed writes are retried.
@@ -32,9 +29,6 @@
 #: Interval between checks for expired records.
 _EXPIRY_INTERVAL_S: Final = 5.0
 
-#: Sends a request's digest and its crashed instances to all other entries.
-Broadcast = Callable[[str, frozenset[str]], Awaitable[None]]
-
 
 def encode_crashes(instances: frozenset[str], trials: int) -> dict[str, Any]:
     """Return the stored value of a record."""
@@ -65,40 +59,18 @@
         ledger: CrashLedger,
         store: StoreClient,
         follow: FetchChangesFrom,
-        broadcast: Broadcast,
         is_responsible: Callable[[str], bool],
     ) -> None:
         self._ledger = ledger
         self._store = store
-        self._broadcast = broadcast
         # Whether this node deletes the expired record of a digest.
         self._is_responsible = is_responsible
         self._log = logger(__name__)
-        # Instances last broadcast, by request digest.
-        self._last_broadcast: dict[str, frozenset[str]] = {}
         # Local copy of the records, by digest.
         self.mirror = Mirror(
             store, CRASH_KIND, self._apply_entry, _WATCH_HOLD_S, follow=follow
         )
-        # Broadcasts in progress.
-        self._broadcasts: set[asyncio.Task[None]] = set()
         ledger.claim_trial = self.claim_trial
-        ledger.on_crash.append(self._broadcast_suspect)
-
-    def _broadcast_suspect(self, digest: str) -> None:
-        """Broadcast the crashes of a suspect request without waiting for the store.
-
-        A write takes half a second while the store is down, and a failed write is
-        retried seconds later. Until another entry knows of the crashes, it sends the
-        request to further instances.
-        """
-        record = self._ledger.find(digest)
-        if record is None or len(record.instances) < SUSPECT_CRASHES:
-            return
-        work = self._broadcast_once(digest, record.instances)
-        task = asyncio.get_running_loop().create_task(work)
-        self._broadcasts.add(task)
-        task.add_done_callback(self._broadcasts.discard)
 
     def _apply_entry(self, entry: Entry, is_removed: bool) -> None:
         if is_removed:
@@ -128,20 +100,14 @@
         for _ in range(_WRITE_ATTEMPTS):
             record = self._ledger.find(digest)
             if record is None or not record.is_unwritten:
-                self._last_broadcast.pop(digest, None)
                 return True
-            writing = asyncio.ensure_future(self._write_once(digest, record))
-            await asyncio.wait((writing,), timeout=_BROADCAST_DELAY_S)
-            if not writing.done():
-                await self._broadcast_once(digest, record.instances)
-            refusal = await writing
+            refusal = await self._write_once(digest, record)
             if refusal is not None:
                 self._log.info(
                     "crash-record-unwritten",
                     request_digest=digest,
                     reason=refusal.reason,
                 )
-                await self._broadcast_once(digest, record.instances)
                 break
         return False
 
@@ -169,12 +135,6 @@
             return await store.replace(CRASH_KIND, digest, value, stored.revision)
         return await store.delete(CRASH_KIND, digest, stored.revision)
 
-    async def _broadcast_once(self, digest: str, instances: frozenset[str]) -> None:
-        """Broadcast crashes that are not stored yet, once for each set of instances."""
-        if instances and self._last_broadcast.get(digest) != instances:
-            self._last_broadcast[digest] = instances
-            await self._broadcast(digest, instances)
-
     async def claim_trial(self, digest: str) -> bool:
         """Claim the next trial run of a request; at most one node succeeds."""
         record = self._ledger.find(digest)
--- /dev/null
+++ b/pistachioglade/quarantine/tests/test_reports.py
@@ -0,0 +1,192 @@
+"""Tests of crash reports to other entries while the store doesn't hold the crashes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from ...store.tests.scripted import now_s, run_virtual
+from .. import CrashLedger, CrashReports
+from .._ledger import StoredCrashes
+
+#: Time that a report and its answer take, in seconds.
+_ROUND_TRIP_S = 0.002
+#: Time after which an unanswered report has failed, in seconds.
+_TIMEOUT_S = 0.5
+
+
+@attrs.define
+class _Entries:
+    """The other entries, as the reporting entry reaches them."""
+
+    # Names of the listed entries.
+    listed: set[str] = attrs.field(factory=lambda: {"b", "c"})
+    # Entries that don't answer.
+    silent: set[str] = attrs.field(factory=set)
+    # Number of sends that raise an error.
+    errors: int = 0
+    # Time at which an entry got a report, with its crashes, by entry.
+    received: defaultdict[str, list[tuple[float, frozenset[str]]]] = attrs.field(
+        factory=lambda: defaultdict(list)
+    )
+    # Number of started sends by entry.
+    sends: defaultdict[str, int] = attrs.field(factory=lambda: defaultdict(int))
+
+    async def send(self, entry: str, digest: str, instances: frozenset[str]) -> bool:
+        self.sends[entry] += 1
+        if self.errors:
+            self.errors -= 1
+            raise ValueError("a fault of the sender")
+        if entry in self.silent:
+            await asyncio.sleep(_TIMEOUT_S)
+            return False
+        await asyncio.sleep(_ROUND_TRIP_S / 2)
+        self.received[entry].append((now_s(), instances))
+        await asyncio.sleep(_ROUND_TRIP_S / 2)
+        return True
+
+    def known(self, entry: str) -> frozenset[str]:
+        """Return the crashes that an entry has been told of."""
+        return frozenset().union(*(names for _, names in self.received[entry]))
+
+
+_Case = Callable[[CrashLedger, _Entries], Awaitable[None]]
+
+
+def _run_case(case: _Case, entries: _Entries | None = None) -> None:
+    async def work() -> None:
+        others = entries or _Entries()
+        ledger = CrashLedger()
+        reports = CrashReports(ledger, lambda: others.listed, others.send)
+        task = asyncio.create_task(reports.run())
+        await case(ledger, others)
+        task.cancel()
+
+    run_virtual(work)
+
+
+def _crash(ledger: CrashLedger, *instances: str) -> None:
+    for instance in instances:
+        ledger.record_crash("d", instance, "r")
+
+
+def test_crashes_of_a_suspect_request_reach_all_entries_at_once() -> None:
+    """Entries were told of later crashes only when a write had failed."""
+
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        _crash(ledger, "i-1", "i-2", "i-3")
+        await asyncio.sleep(_ROUND_TRIP_S)
+        assert entries.known("b") == entries.known("c") == {"i-1", "i-2", "i-3"}
+
+    _run_case(case)
+
+
+def test_a_first_crash_that_is_stored_in_time_is_not_reported() -> None:
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        _crash(ledger, "i-1")
+        await asyncio.sleep(0.02)
+        ledger.apply_stored("d", StoredCrashes(frozenset({"i-1"}), 0, 5))
+        await asyncio.sleep(1.0)
+        assert not entries.sends
+
+    _run_case(case)
+
+
+def test_a_first_crash_that_is_not_stored_in_time_is_reported_once() -> None:
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        _crash(ledger, "i-1")
+        await asyncio.sleep(5.0)
+        assert entries.sends == {"b": 1, "c": 1}
+        assert entries.received["b"][0][0] < 0.06
+
+    _run_case(case)
+
+
+def test_a_report_is_repeated_until_the_entry_acknowledges_it() -> None:
+    """An entry that missed the only report ran the request until the store was back."""
+
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        entries.silent.add("b")
+        _crash(ledger, "i-1", "i-2")
+        await asyncio.sleep(3.0)
+        assert entries.known("c") == {"i-1", "i-2"}
+        assert not entries.known("b")
+        entries.silent.clear()
+        await asyncio.sleep(1.0)
+        assert entries.known("b") == {"i-1", "i-2"}
+
+    _run_case(case)
+
+
+def test_an_entry_that_is_listed_later_is_told_of_earlier_crashes() -> None:
+    """Reports went only to the entries listed at the moment of the crash."""
+
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        _crash(ledger, "i-1", "i-2")
+        await asyncio.sleep(1.0)
+        entries.listed.add("d")
+        await asyncio.sleep(0.5)
+        assert entries.known("d") == {"i-1", "i-2"}
+
+    _run_case(case)
+
+
+def test_an_error_of_a_send_does_not_end_the_reports() -> None:
+    """An error ended the task that sent the only report, without a log line."""
+
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        _crash(ledger, "i-1", "i-2")
+        await asyncio.sleep(1.0)
+        assert entries.known("b") == entries.known("c") == {"i-1", "i-2"}
+
+    _run_case(case, _Entries(errors=2))
+
+
+def test_a_later_crash_does_not_wait_for_the_answer_to_an_earlier_report() -> None:
+    """A busy entry answers late, and runs the request if it knows only two crashes."""
+
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        entries.silent.add("b")
+        _crash(ledger, "i-1", "i-2")
+        await asyncio.sleep(0.01)
+        entries.silent.clear()
+        _crash(ledger, "i-3")
+        await asyncio.sleep(_ROUND_TRIP_S)
+        assert entries.known("b") == {"i-1", "i-2", "i-3"}
+
+    _run_case(case)
+
+
+def test_few_reports_wait_for_an_entry_that_cannot_be_reached() -> None:
+    """Many instances lost in an outage give each lost request a report."""
+
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        entries.silent.add("b")
+        for number in range(500):
+            ledger.record_crash(f"d-{number}", "i-1", "r")
+            ledger.record_crash(f"d-{number}", "i-2", "r")
+        await asyncio.sleep(2.0)
+        assert len(entries.received["c"]) >= 500
+        assert entries.sends["b"] <= 20
+        entries.silent.clear()
+        await asyncio.sleep(1.0)
+        assert len(entries.received["b"]) >= 500
+
+    _run_case(case)
+
+
+def test_reports_end_once_the_store_holds_the_crashes() -> None:
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        entries.silent.add("b")
+        _crash(ledger, "i-1", "i-2")
+        await asyncio.sleep(1.0)
+        ledger.apply_stored("d", StoredCrashes(frozenset({"i-1", "i-2"}), 0, 5))
+        await asyncio.sleep(1.0)
+        sends = entries.sends["b"]
+        await asyncio.sleep(5.0)
+        assert entries.sends["b"] == sends
+
+    _run_case(case)
--- a/pistachioglade/quarantine/tests/test_store_records.py
+++ b/pistachioglade/quarantine/tests/test_store_records.py
@@ -12,7 +12,7 @@
 
 from ...platform import Entry
 from ...store.tests.served import ServedStore, eventually, run, served_store
-from .. import CRASH_KIND, CrashLedger, CrashRecordStore
+from .. import CRASH_KIND, CrashLedger, CrashRecordStore, CrashReports
 from .._store_records import decode_crashes
 
 
@@ -22,7 +22,7 @@
 
     ledger: CrashLedger
     records: CrashRecordStore
-    # Crashes that the entry has broadcast to other entries.
+    # Crashes that the entry has reported to another entry.
     broadcasts: list[tuple[str, frozenset[str]]]
 
     def instances(self) -> set[str]:
@@ -42,18 +42,24 @@
         ledger = CrashLedger()
         broadcasts: list[tuple[str, frozenset[str]]] = []
 
-        async def broadcast(
-            digest: str, names: frozenset[str], broadcasts: list[Any] = broadcasts
-        ) -> None:
+        async def send(
+            entry: str,
+            digest: str,
+            names: frozenset[str],
+            broadcasts: list[Any] = broadcasts,
+        ) -> bool:
             broadcasts.append((digest, names))
+            return True
 
         records = CrashRecordStore(
-            ledger, store.client(), _no_changes, broadcast, lambda _digest: True
+            ledger, store.client(), _no_changes, lambda _digest: True
         )
+        reports = CrashReports(ledger, lambda: {"other"}, send)
         nodes.append(_Node(ledger, records, broadcasts))
         tasks += [
             asyncio.create_task(records.mirror.run()),
             asyncio.create_task(records.run()),
+            asyncio.create_task(reports.run()),
         ]
     try:
         for node in nodes:
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -33,7 +33,7 @@
 from ..messages import EngineUnattended, FetchChanges, FetchNewer, RelayCall
 from ..metrics import Metrics
 from ..platform import ProcessSettings, names
-from ..quarantine import CRASH_KIND, CrashLedger, CrashRecordStore
+from ..quarantine import CRASH_KIND, CrashLedger, CrashRecordStore, CrashReports
 from ..store import StoreClient
 from ..tasks import Supervisor
 from ..weights import FallbackEngineOrders
@@ -189,9 +189,11 @@
             self._crashes,
             self._store,
             self._watch_relays.fetch_changes,
-            self._peers.broadcast_crashes,
             lambda digest: successor_of(digest, self._members.names) == settings.node,
         )
+        self._crash_reports = CrashReports(
+            self._crashes, self._peers.other_entries, self._peers.report_crashes
+        )
         self._neighbour = NeighbourWatch(
             self._members,
             self._store,
@@ -311,6 +313,7 @@
         start("entries", self._members.mirror.run)
         start("crash-records", self._crash_records.mirror.run)
         start("crash-record-writes", self._crash_records.run)
+        start("crash-reports", self._crash_reports.run)
         start("crash-record-expiry", self._crash_records.expire)
         start("versions", self._versions.mirror.run)
         start("announcements", self._versions.run)
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -199,18 +199,27 @@
         self._crashes.record_reported(message.request_digest, message.instances)
         return Acknowledged()
 
-    async def broadcast_crashes(
-        self, request_digest: str, instances: frozenset[str]
-    ) -> None:
-        """Report a request's crashes to all other entries."""
+    def other_entries(self) -> set[str]:
+        """Return the other listed entries' names as owners of jobs."""
+        return self._members.owner_names - {self._owner.name}
+
+    async def report_crashes(
+        self, entry: str, request_digest: str, instances: frozenset[str]
+    ) -> bool:
+        """Report a request's crashes to an entry; return whether it confirmed them."""
         message = InstancesCrashed(request_digest, tuple(sorted(instances)))
-        others = self._members.owner_names - {self._owner.name}
-        await asyncio.gather(
-            *(
-                self._links.call(address_of(name), message, ENTRY_CALL_TIMEOUT_S)
-                for name in others
-            )
+        answer = await self._links.call(
+            address_of(entry), message, ENTRY_CALL_TIMEOUT_S
         )
+        if isinstance(answer, Acknowledged):
+            return True
+        self._log.info(
+            "crashes-not-reported",
+            entry=entry,
+            request_digest=request_digest,
+            reason=getattr(answer, "reason", ""),
+        )
+        return False
 
     async def notify_owner(self, owner: str, entry: Entry) -> bool:
         """Send a job's owner a record that its watch would return a little later.
--- a/pistachioglade/serving/tests/test_failing_work.py
+++ b/pistachioglade/serving/tests/test_failing_work.py
@@ -32,6 +32,7 @@
     "entries",
     "crash-records",
     "crash-record-writes",
+    "crash-reports",
     "crash-record-expiry",
     "versions",
     "announcements",
--- a/tests/without.py
+++ b/tests/without.py
@@ -186,10 +186,10 @@
         (f"{_CRASHES}::test_restarted_entries_know_of_crashes",),
     ),
     Mechanism(
-        "crashes: entries broadcast crashes while the store is down",
-        "quarantine/_store_records.py",
-        "if instances and self._last_broadcast.get(digest) != instances:",
-        "if False:",
+        "crashes: entries report crashes while the store is down",
+        "quarantine/_reports.py",
+        "if not self._ledger.unstored_instances(digest):",
+        "if True:",
         (f"{_CRASHES}::test_crashes_are_known_to_all_entries_while_the_store_is_down",),
     ),
     Mechanism(
