Crash reports: include entries whose listings were removed lately

Callers crashed six instances with one request while the store was down: an entry that had stood still for a second or two was removed from the list of entries right before the outage, served callers again, and knew of no crash.

Cause: reports went to the listed entries only. An entry that is removed lists itself again through the store, which it can't do in an outage.

Reports now also go to entries whose listings were removed or changed their address within the last 60 s.

--- a/pistachioglade/quarantine/_reports.py
+++ b/pistachioglade/quarantine/_reports.py
@@ -64,7 +64,7 @@
         send: SendReport,
     ) -> None:
         self._ledger = ledger
-        # Returns the names of the other listed entries.
+        # Returns the names of the other entries that may serve callers.
         self._entry_names = entry_names
         self._send = send
         self._log = logger(__name__)
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -192,7 +192,9 @@
             lambda digest: successor_of(digest, self._members.names) == settings.node,
         )
         self._crash_reports = CrashReports(
-            self._crashes, self._peers.other_entries, self._peers.report_crashes
+            self._crashes,
+            self._members.names_that_may_serve,
+            self._peers.report_crashes,
         )
         self._neighbour = NeighbourWatch(
             self._members,
--- a/pistachioglade/serving/_members.py
+++ b/pistachioglade/serving/_members.py
@@ -42,6 +42,10 @@
 #: Time for which an entry that didn't answer gets no new jobs. By then three probes by
 #: the ring neighbour have failed, and the neighbour has removed the listing.
 _UNREACHABLE_COOLDOWN_S: Final = 3.0
+#: Time for which an entry that is no longer listed may still serve callers. A neighbour
+#: removes the listing of an entry that answers late, and that entry can't list itself
+#: again while the store is down.
+_MAY_SERVE_UNLISTED_S: Final = 60.0
 
 
 @attrs.frozen
@@ -107,6 +111,8 @@
         self._cooldown_until_s: dict[str, float] = {}
         # Readable listings of entries by node.
         self._listings: dict[str, Listing] = {}
+        # Monotonic times at which listings were removed, in seconds, by owner name.
+        self._removed_s: dict[str, float] = {}
         # Revisions of deleted listings by node; the mirror may still contain them.
         self._removed_revisions: dict[str, int] = {}
         # Copy of the store's list of entries, by node.
@@ -129,6 +135,10 @@
         if isinstance(decoded, Refusal):
             self._log.error("entry-refused", entry=entry.name, reason=decoded.reason)
             decoded = None
+        known = self._listings.get(entry.name)
+        if known is not None and (decoded is None or decoded.address != known.address):
+            owner = f"{entry.name}@{known.address}"
+            self._removed_s[owner] = asyncio.get_running_loop().time()
         if decoded is None:
             self._listings.pop(entry.name, None)
         else:
@@ -196,6 +206,17 @@
         """The listed entries' names as owners of jobs."""
         return {f"{name}@{self.address_of_node(name)}" for name in self.names}
 
+    def names_that_may_serve(self) -> set[str]:
+        """Return the names, as owners of jobs, of the other entries that may serve.
+
+        These are the listed entries and those whose listings were removed lately.
+        """
+        since_s = asyncio.get_running_loop().time() - _MAY_SERVE_UNLISTED_S
+        self._removed_s = {
+            name: at_s for name, at_s in self._removed_s.items() if at_s > since_s
+        }
+        return (self.owner_names | self._removed_s.keys()) - {self.own_name}
+
     def address_of_node(self, node: str) -> str:
         """Return the address of an entry; empty if it isn't listed."""
         listing = self._listings.get(node)
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -199,10 +199,6 @@
         self._crashes.record_reported(message.request_digest, message.instances)
         return Acknowledged()
 
-    def other_entries(self) -> set[str]:
-        """Return the other listed entries' names as owners of jobs."""
-        return self._members.owner_names - {self._owner.name}
-
     async def report_crashes(
         self, entry: str, request_digest: str, instances: frozenset[str]
     ) -> bool:
--- a/pistachioglade/serving/tests/test_crash_messages.py
+++ b/pistachioglade/serving/tests/test_crash_messages.py
@@ -74,7 +74,7 @@
     server = LinkServer(identity, messages.answer)
     await server.start(f"127.0.0.1:{port}")
     records = CrashRecordStore(ledger, client, _no_changes, lambda _digest: True)
-    reports = CrashReports(ledger, peers.other_entries, peers.report_crashes)
+    reports = CrashReports(ledger, members.names_that_may_serve, peers.report_crashes)
     tasks = [
         asyncio.create_task(records.mirror.run()),
         asyncio.create_task(records.run()),
@@ -175,3 +175,20 @@
             assert await _wait_for_crashes(second, _REPETITION_S) == 3
 
     run(work)
+
+
+def test_an_entry_whose_listing_was_removed_is_told_of_crashes() -> None:
+    """Guards against reports only to listed entries.
+
+    An entry that had stood still was no longer listed and ended three more instances.
+    """
+
+    async def work() -> None:
+        async with served_store() as store, _nodes(store, "a", "b") as nodes:
+            first, second = nodes
+            first.members.mirror.apply_newer(Entry(second.name, 2, None, None))
+            store.standin.faults.down = True
+            _record_crashes(first)
+            assert await _wait_for_crashes(second, _REPETITION_S) == 3
+
+    run(work)
