Crash records: claim trial runs of requests whose reporter has ended

Callers of a request that three instances had ended beneath were refused for an hour, though the request harmed nothing any more: the entry that had seen the crashes was killed in an outage of the store, and the others knew them by its reports only.

Cause: a trial run is claimed by a write to the stored record, and an entry that had no stored record never claimed one. Nobody else writes the reported crashes.

The claim now creates the record first. Of several entries that create and claim at one moment, one succeeds. test_one_trial_is_claimed_for_crashes_whose_reporter_has_ended has no claim without the change and one of three with it.

--- a/pistachioglade/quarantine/_store_records.py
+++ b/pistachioglade/quarantine/_store_records.py
@@ -138,14 +138,11 @@
     async def claim_trial(self, digest: str) -> bool:
         """Claim the next trial run of a request; at most one node succeeds."""
         record = self._ledger.find(digest)
-        if record is None or record.stored is None:
+        if record is None:
             return False
-        value = encode_crashes(record.instances_to_store, record.trials + 1)
         try:
             async with asyncio.timeout(_CLAIM_TIMEOUT_S):
-                stored = await self._store.replace(
-                    CRASH_KIND, digest, value, record.stored.revision
-                )
+                stored = await self._write_claim(digest, record)
         except TimeoutError:
             # If the write succeeds later, the trial is used up without a run.
             return False
@@ -159,6 +156,28 @@
         )
         return is_claimed
 
+    async def _write_claim(
+        self, digest: str, record: CrashRecord
+    ) -> Entry | Refusal | None:
+        """Write a record with one trial more; None if another node has claimed it."""
+        trials = record.trials
+        if record.stored is None:
+            # The entry that reported the crashes can have ended before it stored them.
+            # Without a record, the request would never run again.
+            value = encode_crashes(record.instances, trials)
+            created = await self._store.create(
+                CRASH_KIND, digest, value, _CLAIM_TIMEOUT_S
+            )
+            if isinstance(created, Refusal):
+                return created
+            self.mirror.apply_newer(created)
+        if record.stored is None or record.trials != trials:
+            return None
+        value = encode_crashes(record.instances_to_store, trials + 1)
+        return await self._store.replace(
+            CRASH_KIND, digest, value, record.stored.revision
+        )
+
     async def expire(self) -> None:
         """Delete expired records periodically; runs until cancelled."""
         while True:
--- a/pistachioglade/quarantine/tests/test_store_records.py
+++ b/pistachioglade/quarantine/tests/test_store_records.py
@@ -12,7 +12,12 @@
 
 from ...platform import Entry
 from ...store.tests.served import ServedStore, eventually, run, served_store
-from .. import CRASH_KIND, CrashLedger, CrashRecordStore, CrashReports
+from .. import (
+    CRASH_KIND,
+    CrashLedger,
+    CrashRecordStore,
+    CrashReports,
+)
 from .._store_records import decode_crashes
 
 
@@ -113,6 +118,25 @@
     run(work)
 
 
+def test_one_trial_is_claimed_for_crashes_whose_reporter_has_ended() -> None:
+    """A request whose crashes were only reported was refused for an hour."""
+
+    async def work() -> None:
+        async with served_store() as store, _nodes(store, 3) as nodes:
+            for node in nodes:
+                node.ledger.record_reported("d", ["i-1", "i-2", "i-3"])
+            claims = await asyncio.gather(*(n.records.claim_trial("d") for n in nodes))
+            assert sorted(claims) == [False, False, True]
+
+            def trials(node: _Node) -> int:
+                record = node.ledger.find("d")
+                return 0 if record is None else record.trials
+
+            await eventually(lambda: all(trials(n) == 1 for n in nodes))
+
+    run(work)
+
+
 def test_no_trial_is_claimed_without_the_store() -> None:
     async def work() -> None:
         async with served_store() as store, _nodes(store, 1) as nodes:
