Quarantine: refusals of an unclaimed trial run say when to return

Callers got 503 without Retry-After once a trial run was due that no entry could claim, as in an outage of the store, and each attempt made another call to the store that failed.

Cause: the decision at that point is "trial", which has no time to wait. Such refusals now name 2 s. test_a_refusal_without_a_claim_says_when_to_return fails without the change.

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -35,6 +35,7 @@
 from ._connection_limits import connection_limit, connection_wait_s
 from ._connection_reuse import prefer_idle_connection
 from ._crash_quarantine import (
+    UNCLAIMED_TRIAL_WAIT_S,
     Admission,
     AdmissionDecision,
     CrashHistory,
@@ -199,6 +200,7 @@
     "RELAY_SEARCH_INTERVAL_S",
     "RELAY_TRANSFER_S",
     "RETRY_PERCENT",
+    "UNCLAIMED_TRIAL_WAIT_S",
     "WITHOUT_VARIABLE",
     "AdaptiveTimeout",
     "Admission",
--- a/pistachioglade/decisions/_crash_quarantine.py
+++ b/pistachioglade/decisions/_crash_quarantine.py
@@ -24,6 +24,9 @@
 #: request runs on the only instance, so that an upstream with one instance still
 #: serves the request.
 _SPARE_WAIT_S: Final = 10.0
+#: Retry-After of a request whose trial run can't be claimed: the store doesn't answer,
+#: or another entry has just claimed the trial.
+UNCLAIMED_TRIAL_WAIT_S: Final = 2.0
 #: Retry-After of a request that waits for a second instance.
 _REPLACEMENT_WAIT_S: Final = 2.0
 #: Retry-After while another run of the request is in progress, and the minimum of
--- a/pistachioglade/quarantine/_guard.py
+++ b/pistachioglade/quarantine/_guard.py
@@ -6,7 +6,7 @@
 from contextlib import contextmanager
 from functools import cached_property
 
-from ..decisions import Admission, AdmissionDecision
+from ..decisions import UNCLAIMED_TRIAL_WAIT_S, Admission, AdmissionDecision
 from ..errors import ErrorKind, Refusal, refuse
 from ..fleet import Instance
 from ..http1 import Request
@@ -78,5 +78,7 @@
 
 
 def _refusal(verdict: AdmissionDecision) -> Refusal:
-    reason = verdict.reason or "a trial run of this request is in progress"
-    return refuse(ErrorKind.QUARANTINED, reason, verdict.wait_s or None)
+    if verdict.admission is Admission.TRIAL:
+        reason = "a trial run of this request can't be claimed now"
+        return refuse(ErrorKind.QUARANTINED, reason, UNCLAIMED_TRIAL_WAIT_S)
+    return refuse(ErrorKind.QUARANTINED, verdict.reason, verdict.wait_s)
--- a/pistachioglade/quarantine/tests/test_store_records.py
+++ b/pistachioglade/quarantine/tests/test_store_records.py
@@ -10,13 +10,18 @@
 import attrs
 import pytest
 
+from ...errors import ErrorKind
+from ...fleet import Instance
+from ...http1 import Request
 from ...platform import Entry
+from ...store.tests.scripted import run_virtual
 from ...store.tests.served import ServedStore, eventually, run, served_store
 from .. import (
     CRASH_KIND,
     CrashLedger,
     CrashRecordStore,
     CrashReports,
+    RequestGuard,
 )
 from .._store_records import decode_crashes
 
@@ -137,6 +142,29 @@
     run(work)
 
 
+def test_a_refusal_without_a_claim_says_when_to_return() -> None:
+    """Refusals of a due trial run had no Retry-After while the store was down."""
+
+    async def work() -> None:
+        ledger = CrashLedger()
+        request = Request("POST", "/a", (("Host", "h"),), b"", 0.0)
+        guard = RequestGuard(ledger, request, "r")
+        ledger.record_crash(guard.digest, "i-1", "r")
+        ledger.record_reported(guard.digest, ["i-2", "i-3"])
+
+        async def fail(digest: str) -> bool:
+            return False
+
+        ledger.claim_trial = fail
+        await asyncio.sleep(31.0)
+        spare = [Instance(name, "app", "h", 1, "", 8, False) for name in ("a", "b")]
+        refusal = await guard.admit(lambda: spare)
+        assert refusal is not None and refusal.kind is ErrorKind.QUARANTINED
+        assert refusal.retry_after_s == 2.0
+
+    run_virtual(work)
+
+
 def test_no_trial_is_claimed_without_the_store() -> None:
     async def work() -> None:
         async with served_store() as store, _nodes(store, 1) as nodes:
