Quarantine: count runs that began before the request's first crash

Cause: runs were counted in the crash record, so that a run without a record at its start was not counted. The body of each request is not hashed without need.

Every run is now registered by method, target and length of the body; digests are compared only between runs that agree in these. The new case of forwarding/tests/test_crashes.py (lookup and stream) fails without the change, where a third run is admitted. test_one_run_at_a_time passes the count as an argument now and checks the same decisions.

--- a/pistachioglade/forwarding/tests/test_crashes.py
+++ b/pistachioglade/forwarding/tests/test_crashes.py
@@ -145,3 +145,26 @@
         assert not any(isinstance(answer, Refusal) for answer in answers)
 
     run(work)
+
+
+@pytest.mark.parametrize("kind", _SENDERS)
+def test_a_run_that_began_before_the_first_crash_counts_as_running(kind: str) -> None:
+    """A request ran beside an earlier run of it, and both could end an instance."""
+
+    async def work() -> None:
+        sender, models = _SENDERS[kind]
+        upstream = _Upstream(models)
+        slow = await upstream.add(is_fatal=False)
+        slow.faults.silent = 1
+        send = sender(upstream)
+        earlier = asyncio.create_task(send())
+        while not slow.runs.total():
+            await asyncio.sleep(0.01)
+        for _ in range(5):
+            await upstream.add()
+        answers = [await send() for _ in range(3)]
+        earlier.cancel()
+        kinds = [answer.kind for answer in answers if isinstance(answer, Refusal)]
+        assert kinds == [ErrorKind.UPSTREAM_LOST] * 2 + [ErrorKind.QUARANTINED]
+
+    run(work)
--- a/pistachioglade/quarantine/_digest.py
+++ b/pistachioglade/quarantine/_digest.py
@@ -9,6 +9,15 @@
 
 _DIGEST_BYTES: Final = 16
 
+#: A request's method, target and length of the body. Requests with one digest have one
+#: outline.
+RequestOutline = tuple[str, str, int]
+
+
+def request_outline(request: Request) -> RequestOutline:
+    """Return a request's outline, which needs no hash of the body."""
+    return request.method, request.target, len(request.body)
+
 
 def request_digest(request: Request, account: str = "") -> str:
     """Return a hex digest of a request's method, host, target, account and body.
--- a/pistachioglade/quarantine/_guard.py
+++ b/pistachioglade/quarantine/_guard.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable, Iterable
+from contextlib import AbstractContextManager
 from functools import cached_property
 
 from ..decisions import UNCLAIMED_TRIAL_WAIT_S, Admission, AdmissionDecision
 from ..errors import ErrorKind, Refusal, refuse
 from ..fleet import Instance
 from ..http1 import Request
-from ._digest import request_digest
+from ._digest import request_digest, request_outline
 from ._ledger import CrashLedger
 
 
@@ -27,6 +27,7 @@
         self._account = account
         self._ledger = ledger
         self._request = request
+        self._outline = request_outline(request)
         self._request_id = request_id
 
     @cached_property
@@ -43,24 +44,26 @@
         if not self._ledger.count:
             return None
         names = frozenset(map(_incarnation, healthy()))
-        verdict = self._ledger.decide_admission(self.digest, names)
+        verdict = self._decide(names)
         match verdict.admission:
             case Admission.SEND:
                 return None
             case Admission.TRIAL:
                 if await self._ledger.claim_trial(self.digest):
                     return None
-                verdict = self._ledger.decide_admission(self.digest, names)
+                verdict = self._decide(names)
         return _refusal(verdict)
 
-    @contextmanager
-    def running(self) -> Iterator[None]:
+    def _decide(self, open_instances: frozenset[str]) -> AdmissionDecision:
+        is_running = self._ledger.runs.is_running(self._outline, self.digest)
+        return self._ledger.decide_admission(self.digest, open_instances, is_running)
+
+    def running(self) -> AbstractContextManager[None]:
         """Count a run of the request while the context is active."""
-        if not self._ledger.count:
-            yield
-            return
-        with self._ledger.running(self.digest):
-            yield
+        return self._ledger.runs.register(self._outline, self._get_digest)
+
+    def _get_digest(self) -> str:
+        return self.digest
 
     def record_result(self, instance: Instance, refusal: Refusal | None) -> None:
         """Record the result of a try; ``refusal`` is None if the instance answered."""
--- a/pistachioglade/quarantine/_ledger.py
+++ b/pistachioglade/quarantine/_ledger.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Collection, Iterable, Iterator
-from contextlib import contextmanager
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from typing import Final
 
 import attrs
@@ -17,6 +16,7 @@
     is_quarantined,
 )
 from ..logs import logger
+from ._runs import RunningRequests
 
 #: Maximum number of requests with a record.
 _MAX_REQUESTS: Final = 2000
@@ -53,8 +53,6 @@
     cleared: frozenset[str] = _NO_INSTANCES
     # Trial runs claimed without the store.
     local_trials: int = 0
-    # Runs in progress from this node.
-    running: int = 0
 
     @property
     def _stored_instances(self) -> frozenset[str]:
@@ -95,6 +93,8 @@
 
     def __init__(self) -> None:
         self._records: dict[str, CrashRecord] = {}
+        # Runs in progress from this node.
+        self.runs = RunningRequests()
         self._log = logger(__name__)
         # Claims the next trial run of a request; returns whether the claim succeeded.
         self.claim_trial: Callable[[str], Awaitable[bool]] = self._claim_locally
@@ -132,11 +132,12 @@
         return [name for name, record in self._records.items() if record.is_unwritten]
 
     def decide_admission(
-        self, digest: str, open_instances: Collection[str]
+        self, digest: str, open_instances: Collection[str], is_running: bool = False
     ) -> AdmissionDecision:
         """Return the admission decision for a request.
 
-        ``open_instances`` are the instances of the upstream that can run the request.
+        ``open_instances`` are the instances of the upstream that can run the request,
+        ``is_running`` tells whether this node has a run of the request in progress.
         """
         record = self._records.get(digest) or CrashRecord(self._now_s())
         # The list can still contain instances that have just ended.
@@ -145,7 +146,7 @@
             len(record.instances),
             record.trials,
             self._now_s() - record.changed_s,
-            record.running > 0,
+            is_running,
         )
         return decide_admission(history, remaining)
 
@@ -156,16 +157,6 @@
         record.changed_s = self._now_s()
         return True
 
-    @contextmanager
-    def running(self, digest: str) -> Iterator[None]:
-        """Count a run of a request that has a record while the context is active."""
-        record = self._records.get(digest) or CrashRecord(self._now_s())
-        record.running += 1
-        try:
-            yield
-        finally:
-            record.running -= 1
-
     def record_crash(self, digest: str, instance: str, request_id: str) -> None:
         """Record that an instance ended while running a request."""
         record = self._find_or_add(digest)
--- a/pistachioglade/quarantine/tests/test_ledger.py
+++ b/pistachioglade/quarantine/tests/test_ledger.py
@@ -132,8 +132,8 @@
 def test_one_run_at_a_time_from_two_crashes_on() -> None:
     def case(ledger: CrashLedger) -> None:
         ledger.record_reported("d", ["i-1", "i-2"])
-        with ledger.running("d"):
-            assert ledger.decide_admission("d", _OPEN).admission is Admission.REFUSE
+        decision = ledger.decide_admission("d", _OPEN, is_running=True)
+        assert decision.admission is Admission.REFUSE
         assert ledger.decide_admission("d", _OPEN).admission is Admission.SEND
 
     _run_case(case)
