Quarantine: answer a failed request once other entries know of its crashes

Callers that repeat a request as soon as it is answered crashed up to nine instances while the store was down: their next attempt reached an entry before the report did.

Cause: the answer to the caller and the report to the other entries raced.

A request during which an instance ended is now answered with a failure once the store or each entry that answers holds the crashes, after 0.5 s or at the deadline at the latest. A retry within the same attempt doesn't wait, nor does an answer of an instance. An entry that couldn't be reached is waited for once. crashes-not-shared names the entries for which the wait was in vain.

test_a_failed_request_is_answered_when_other_entries_know_of_its_crash (lookup, stream) fails without the change; tests of the wait itself are in quarantine/tests/test_reports.py.

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -35,6 +35,7 @@
 from ._connection_limits import connection_limit, connection_wait_s
 from ._connection_reuse import prefer_idle_connection
 from ._crash_quarantine import (
+    MAX_SHARE_WAIT_S,
     UNCLAIMED_TRIAL_WAIT_S,
     Admission,
     AdmissionDecision,
@@ -188,6 +189,7 @@
     "MAX_DUTY_RANKS",
     "MAX_LAG_VERSIONS",
     "MAX_LEDGER_WINDOWS",
+    "MAX_SHARE_WAIT_S",
     "MAX_SLOT_WAIT_S",
     "MIN_CHECKPOINT_EVENTS",
     "MOVE_COST_S",
--- a/pistachioglade/decisions/_crash_quarantine.py
+++ b/pistachioglade/decisions/_crash_quarantine.py
@@ -35,6 +35,9 @@
 #: Time that the write of a request's first crash may take before the other entries are
 #: told directly. The store usually answers sooner, and tells them by their watches.
 _FIRST_REPORT_DELAY_S: Final = 0.05
+#: Longest wait, before a failed request is answered, for the other entries to know of
+#: its crashes. Covers an entry that is busy for some tenths of a second.
+MAX_SHARE_WAIT_S: Final = 0.5
 #: First pause of a sample that has crashed engines.
 _SAMPLE_PAUSE_S: Final = 1.0
 #: Maximum number of doublings of that pause. Keeps the longest pause below five
--- a/pistachioglade/forwarding/_forward.py
+++ b/pistachioglade/forwarding/_forward.py
@@ -184,6 +184,7 @@
             if not self._budget.spend_retry():
                 self._log.info("retry-budget-spent", request=call.request_id)
                 break
+        await guard.wait_until_shared(call.deadline_s - loop.time())
         final = final_answer(
             last,
             may_have_run,
--- a/pistachioglade/forwarding/_stream.py
+++ b/pistachioglade/forwarding/_stream.py
@@ -132,6 +132,7 @@
             if not self._budget.spend_retry():
                 self._log.info("retry-budget-spent", request=call.request_id)
                 break
+        await guard.wait_until_shared(call.deadline_s - loop.time())
         if progress.is_begun:
             return StreamEnd.BROKEN_OFF
         return final_answer(
--- a/pistachioglade/forwarding/tests/test_crashes.py
+++ b/pistachioglade/forwarding/tests/test_crashes.py
@@ -13,6 +13,7 @@
 from ...fleet import Route, RouteKind, Share
 from ...http1 import Fields, Request, Response
 from ...platform import Entry, names
+from ...quarantine import CrashLedger, CrashReports
 from ...standins._fleet_instance import FleetInstance
 from ...store.tests.served import run
 from .. import FleetView, Forwarder, StreamEnd, StreamForwarder
@@ -81,8 +82,8 @@
     return Request("POST", "/fatal", fields, b"", asyncio.get_running_loop().time())
 
 
-def _lookup(upstream: _Upstream) -> _Send:
-    forwarder = Forwarder(upstream.view, "a")
+def _lookup(upstream: _Upstream, crashes: CrashLedger | None = None) -> _Send:
+    forwarder = Forwarder(upstream.view, "a", crashes=crashes)
 
     async def send() -> Response | Refusal | None:
         return await forwarder.forward(forwarder.create_call(_request(), "r", _ROUTE))
@@ -90,8 +91,8 @@
     return send
 
 
-def _stream(upstream: _Upstream) -> _Send:
-    forwarder = StreamForwarder(upstream.view, "a")
+def _stream(upstream: _Upstream, crashes: CrashLedger | None = None) -> _Send:
+    forwarder = StreamForwarder(upstream.view, "a", crashes=crashes)
     route = attrs.evolve(_ROUTE, kind=RouteKind.STREAMING)
     calls = Forwarder(upstream.view, "a")
 
@@ -168,3 +169,31 @@
         assert kinds == [ErrorKind.UPSTREAM_LOST] * 2 + [ErrorKind.QUARANTINED]
 
     run(work)
+
+
+@pytest.mark.parametrize("kind", _SENDERS)
+def test_a_failed_request_is_answered_when_other_entries_know_of_its_crash(
+    kind: str,
+) -> None:
+    """A caller that retried at once ended instances at entries that knew of none."""
+
+    async def work() -> None:
+        sender, models = _SENDERS[kind]
+        upstream = _Upstream(models)
+        await upstream.add()
+        ledger = CrashLedger()
+        known: list[frozenset[str]] = []
+
+        async def report(entry: str, digest: str, instances: frozenset[str]) -> bool:
+            await asyncio.sleep(0.1)
+            known.append(instances)
+            return True
+
+        reports = CrashReports(ledger, lambda: {"other"}, report)
+        repeating = asyncio.create_task(reports.run())
+        answer = await sender(upstream, ledger)()
+        repeating.cancel()
+        assert isinstance(answer, Refusal) and answer.kind is ErrorKind.UPSTREAM_LOST
+        assert known == [frozenset({"app-0@0"})]
+
+    run(work)
--- a/pistachioglade/quarantine/_guard.py
+++ b/pistachioglade/quarantine/_guard.py
@@ -6,7 +6,12 @@
 from contextlib import AbstractContextManager
 from functools import cached_property
 
-from ..decisions import UNCLAIMED_TRIAL_WAIT_S, Admission, AdmissionDecision
+from ..decisions import (
+    MAX_SHARE_WAIT_S,
+    UNCLAIMED_TRIAL_WAIT_S,
+    Admission,
+    AdmissionDecision,
+)
 from ..errors import ErrorKind, Refusal, refuse
 from ..fleet import Instance
 from ..http1 import Request
@@ -29,6 +34,8 @@
         self._request = request
         self._outline = request_outline(request)
         self._request_id = request_id
+        # Whether an instance has ended during a try.
+        self._has_crashed = False
 
     @cached_property
     def digest(self) -> str:
@@ -73,6 +80,17 @@
         elif refusal.kind is ErrorKind.CONNECTION_LOST:
             name = _incarnation(instance)
             self._ledger.record_crash(self.digest, name, self._request_id)
+            self._has_crashed = True
+
+    async def wait_until_shared(self, remaining_s: float) -> None:
+        """Wait until other entries can know of the instances that ended during tries.
+
+        A caller that retries its request elsewhere as soon as it is answered would end
+        further instances. ``remaining_s`` is the time until the request's deadline.
+        """
+        timeout_s = min(remaining_s, MAX_SHARE_WAIT_S)
+        if self._has_crashed and timeout_s > 0.0:
+            await self._ledger.wait_until_shared(self.digest, timeout_s)
 
 
 def _incarnation(instance: Instance) -> str:
--- a/pistachioglade/quarantine/_ledger.py
+++ b/pistachioglade/quarantine/_ledger.py
@@ -88,6 +88,10 @@
         return self.instances_to_store != self._stored_instances
 
 
+async def _no_wait(digest: str, timeout_s: float) -> None:
+    """Return at once; used by a node without other nodes."""
+
+
 class CrashLedger:
     """Counts crashes by request digest and decides which requests may be sent."""
 
@@ -102,6 +106,12 @@
         self.has_unwritten = asyncio.Event()
         # Called with a request's digest when this node has observed another crash.
         self.on_crash: list[Callable[[str], None]] = []
+        # Called with a request's digest when its record in the store has changed or an
+        # answer has cleared its crashes.
+        self.on_settled: list[Callable[[str], None]] = []
+        # Waits until other nodes can know of a request's crashes, for some seconds at
+        # most.
+        self.wait_until_shared: Callable[[str, float], Awaitable[None]] = _no_wait
 
     @property
     def count(self) -> int:
@@ -201,6 +211,7 @@
         record.cleared |= record.instances
         record.local_trials = 0
         self.has_unwritten.set()
+        self._notify_settled(digest)
 
     def apply_stored(self, digest: str, stored: StoredCrashes | None) -> None:
         """Apply a request's stored record; None if the record was deleted."""
@@ -219,6 +230,7 @@
         record.changed_s = self._now_s()
         if record.is_unwritten:
             self.has_unwritten.set()
+        self._notify_settled(digest)
 
     def _apply_removal(self, digest: str) -> None:
         record = self._records.get(digest)
@@ -229,6 +241,11 @@
             # Observed instances beyond the limit would otherwise be written again.
             record.cleared |= record.observed
         record.stored = None
+        self._notify_settled(digest)
+
+    def _notify_settled(self, digest: str) -> None:
+        for callback in self.on_settled:
+            callback(digest)
 
     def drop_expired(self) -> list[str]:
         """Drop expired records; return the expired digests that are still stored."""
--- a/pistachioglade/quarantine/_reports.py
+++ b/pistachioglade/quarantine/_reports.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Collection
-from itertools import product
+from itertools import islice, product
 from typing import Final
 
 import attrs
@@ -21,6 +21,9 @@
 #: another attempt to connect, one after the other.
 _MAX_IN_FLIGHT_UNPROVEN: Final = 4
 
+#: Maximum number of entries that a log line names.
+_MAX_LOGGED_ENTRIES: Final = 8
+
 #: Sends a request's digest and its crashed instances to the named entry; returns
 #: whether the entry acknowledged them.
 SendReport = Callable[[str, str, frozenset[str]], Awaitable[bool]]
@@ -74,7 +77,11 @@
         self._has_reported = asyncio.Event()
         # Reports without an answer yet.
         self._sending: set[asyncio.Task[None]] = set()
+        # Set when the request's crashes may be known to all entries, by digest.
+        self._progress: dict[str, asyncio.Event] = {}
         ledger.on_crash.append(self._schedule)
+        ledger.on_settled.append(self._notify_waiters)
+        ledger.wait_until_shared = self.wait_until_shared
 
     def _schedule(self, digest: str) -> None:
         """Report a request's crashes as soon as they are due."""
@@ -94,6 +101,8 @@
         for name, peer in self._peers.items():
             peer.pending[digest] = None
             self._send_pending(name, peer)
+        if not self._peers:
+            self._notify_waiters(digest)
 
     def _update_peers(self) -> None:
         """Follow the list of entries; a newly listed entry gets all reports."""
@@ -133,6 +142,7 @@
                 # A process that has been replaced knows nothing of earlier reports.
                 peer.acknowledged.clear()
                 peer.pending |= dict.fromkeys(self._reported)
+            self._notify_waiters(digest)
         if is_acknowledged:
             self._send_pending(name, peer)
         if is_acknowledged and self._is_shared(digest):
@@ -175,10 +185,44 @@
         if not self._reported:
             self._has_reported.clear()
 
+    def _notify_waiters(self, digest: str) -> None:
+        progress = self._progress.pop(digest, None)
+        if progress is not None:
+            progress.set()
+
     def _is_shared(self, digest: str) -> bool:
-        """Whether each entry that answers has acknowledged a request's crashes."""
+        """Whether the store or each entry that answers holds a request's crashes."""
         unstored = self._ledger.unstored_instances(digest)
-        return all(
+        if not unstored:
+            return True
+        return digest in self._reported and all(
             peer.is_reachable is False or peer.knows(digest, unstored)
             for peer in self._peers.values()
         )
+
+    def _uninformed_entries(self, digest: str) -> list[str]:
+        """Return some entries that have not acknowledged a request's crashes."""
+        unstored = self._ledger.unstored_instances(digest)
+        names = (
+            name
+            for name, peer in self._peers.items()
+            if not peer.knows(digest, unstored)
+        )
+        return list(islice(names, _MAX_LOGGED_ENTRIES))
+
+    async def wait_until_shared(self, digest: str, timeout_s: float) -> None:
+        """Wait until the store or each entry that answers holds a request's crashes.
+
+        Returns after ``timeout_s`` at the latest.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not self._is_shared(digest):
+                    await self._progress.setdefault(digest, asyncio.Event()).wait()
+        except TimeoutError:
+            self._log.info(
+                "crashes-not-shared",
+                request_digest=digest,
+                waited_s=round(timeout_s, 3),
+                entries=self._uninformed_entries(digest),
+            )
--- a/pistachioglade/quarantine/tests/test_reports.py
+++ b/pistachioglade/quarantine/tests/test_reports.py
@@ -16,6 +16,8 @@
 _ROUND_TRIP_S = 0.002
 #: Time after which an unanswered report has failed, in seconds.
 _TIMEOUT_S = 0.5
+#: Bound of a wait that is expected to end sooner, in seconds.
+_LONG_WAIT_S = 30.0
 
 
 @attrs.define
@@ -190,3 +192,71 @@
         assert entries.sends["b"] == sends
 
     _run_case(case)
+
+
+async def _wait_time_s(ledger: CrashLedger) -> float:
+    begun_s = now_s()
+    await ledger.wait_until_shared("d", _LONG_WAIT_S)
+    return now_s() - begun_s
+
+
+def test_a_wait_ends_when_all_entries_know_the_crashes() -> None:
+    """A caller that was answered sooner ended instances at other entries."""
+
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        _crash(ledger, "i-1")
+        assert 0.05 <= await _wait_time_s(ledger) < 0.06
+        assert entries.known("b") == entries.known("c") == {"i-1"}
+        _crash(ledger, "i-2")
+        assert await _wait_time_s(ledger) < 0.01
+        assert entries.known("b") == entries.known("c") == {"i-1", "i-2"}
+
+    _run_case(case)
+
+
+def test_a_wait_ends_when_the_store_holds_the_crashes() -> None:
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        _crash(ledger, "i-1")
+        stored = StoredCrashes(frozenset({"i-1"}), 0, 5)
+        asyncio.get_running_loop().call_later(0.02, ledger.apply_stored, "d", stored)
+        assert 0.0 < await _wait_time_s(ledger) < 0.03
+
+    _run_case(case)
+
+
+def test_a_wait_ends_when_the_request_is_answered() -> None:
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        _crash(ledger, "i-1")
+        asyncio.get_running_loop().call_later(0.02, ledger.record_answer, "d")
+        assert 0.0 < await _wait_time_s(ledger) < 0.03
+
+    _run_case(case)
+
+
+def test_callers_wait_once_for_an_entry_that_cannot_be_reached() -> None:
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        entries.silent.add("b")
+        _crash(ledger, "i-1", "i-2")
+        assert await _wait_time_s(ledger) <= _TIMEOUT_S
+        _crash(ledger, "i-3")
+        assert await _wait_time_s(ledger) < 0.01
+
+    _run_case(case)
+
+
+def test_a_wait_is_bounded() -> None:
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        entries.silent.add("b")
+        _crash(ledger, "i-1", "i-2")
+        await ledger.wait_until_shared("d", 0.1)
+        assert now_s() <= 0.1
+
+    _run_case(case)
+
+
+def test_a_single_entry_does_not_wait_for_others() -> None:
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        _crash(ledger, "i-1")
+        assert await _wait_time_s(ledger) <= 0.06
+
+    _run_case(case, _Entries(listed=set()))
