Crash records: a restarted task writes what a failed one left

Crashes that an entry had observed were not shared for as long as it observed no other one, if an error ended the task that writes the records: the task resets the event that it waits for before it writes, and the supervisor restarted it without anything to do.

--- a/pistachioglade/quarantine/_store_records.py
+++ b/pistachioglade/quarantine/_store_records.py
@@ -85,6 +85,9 @@
 
     async def run(self) -> None:
         """Write records when the ledger has unwritten ones; runs until cancelled."""
+        if self._ledger.unwritten():
+            # An error has ended an earlier run of this task before its writes.
+            self._ledger.has_unwritten.set()
         while True:
             await self._ledger.has_unwritten.wait()
             self._ledger.has_unwritten.clear()
