Crash records: the entry responsible for a digest writes reported crashes

A request stayed quarantined at the entries that knew its crashes by reports only: after an outage in which the reporting entry was lost, nobody wrote the record; after one in which an answer had cleared the crashes at that entry, the others kept them.

Cause: only entries that had observed crashes wrote and cleared records.

From 2 s after a report on, the entry responsible for the digest writes the crashes like its own; the entry that knows of an answer then deletes the record, which clears it everywhere. If the entry with the answer is the responsible one itself, a trial run clears the request instead, after 30 s. Two tests of serving/tests/test_crash_messages.py fail without the change.

--- a/pistachioglade/quarantine/_ledger.py
+++ b/pistachioglade/quarantine/_ledger.py
@@ -22,6 +22,8 @@
 _MAX_REQUESTS: Final = 2000
 #: Maximum number of instances written to a record in the store or read from one.
 MAX_INSTANCES: Final = 64
+#: Time within which the entry that reported crashes usually has written them.
+_ADOPT_AFTER_S: Final = 2.0
 _NO_INSTANCES: Final[frozenset[str]] = frozenset()
 
 
@@ -58,6 +60,11 @@
     def _stored_instances(self) -> frozenset[str]:
         return _NO_INSTANCES if self.stored is None else self.stored.instances
 
+    @property
+    def known_to_store(self) -> frozenset[str]:
+        """Instances that the store's record contains or that were cleared."""
+        return self._stored_instances | self.cleared
+
     @property
     def instances(self) -> frozenset[str]:
         """Instances that ended while running the request since its last answer."""
@@ -73,7 +80,7 @@
     @property
     def unstored(self) -> frozenset[str]:
         """Observed instances that the store's record lacks."""
-        return frozenset(self.observed) - self._stored_instances - self.cleared
+        return frozenset(self.observed) - self.known_to_store
 
     @property
     def instances_to_store(self) -> frozenset[str]:
@@ -193,6 +200,7 @@
             return
         record.reported |= set(instances)
         record.changed_s = self._now_s()
+        asyncio.get_running_loop().call_later(_ADOPT_AFTER_S, self.has_unwritten.set)
         self._log.info(
             "crashes-received",
             request_digest=digest,
@@ -200,6 +208,19 @@
             is_quarantined=is_quarantined(len(record.instances)),
         )
 
+    def adopt_reported(self, is_responsible: Callable[[str], bool]) -> None:
+        """Let this node write reported crashes of the requests it is responsible for.
+
+        The entry that reported them may have ended before it could write them, or an
+        answer has cleared them there.
+        """
+        now_s = self._now_s()
+        for digest, record in self._records.items():
+            unwritten = record.reported - record.observed - record.known_to_store
+            is_due = now_s - record.changed_s >= _ADOPT_AFTER_S
+            if unwritten and is_due and is_responsible(digest):
+                record.observed |= unwritten
+
     def record_answer(self, digest: str) -> None:
         """Clear a request's crashes because an instance has answered it."""
         record = self._records.get(digest)
--- a/pistachioglade/quarantine/_store_records.py
+++ b/pistachioglade/quarantine/_store_records.py
@@ -63,7 +63,8 @@
     ) -> None:
         self._ledger = ledger
         self._store = store
-        # Whether this node deletes the expired record of a digest.
+        # Whether this node writes the reported crashes of a digest and deletes its
+        # expired record.
         self._is_responsible = is_responsible
         self._log = logger(__name__)
         # Local copy of the records, by digest.
@@ -91,6 +92,7 @@
         while True:
             await self._ledger.has_unwritten.wait()
             self._ledger.has_unwritten.clear()
+            self._ledger.adopt_reported(self._is_responsible)
             unwritten = self._ledger.unwritten()
             written = await asyncio.gather(*map(self._write, unwritten))
             if not all(written):
@@ -185,6 +187,8 @@
         """Delete expired records periodically; runs until cancelled."""
         while True:
             await asyncio.sleep(_EXPIRY_INTERVAL_S)
+            # This node may have become responsible for further requests.
+            self._ledger.has_unwritten.set()
             for digest in filter(self._is_responsible, self._ledger.drop_expired()):
                 record = self._ledger.find(digest)
                 if record is not None and record.stored is not None:
--- a/pistachioglade/serving/tests/test_crash_messages.py
+++ b/pistachioglade/serving/tests/test_crash_messages.py
@@ -192,3 +192,52 @@
             assert await _wait_for_crashes(second, _REPETITION_S) == 3
 
     run(work)
+
+
+def test_an_answer_in_an_outage_releases_a_request_at_all_entries() -> None:
+    """Guards against a quarantine that outlives its request's answer.
+
+    Reported crashes were cleared only with a stored record. The entry that had seen
+    the crashes wrote none after the outage, since an answer had cleared them there, so
+    that the others kept the request quarantined.
+    """
+
+    async def work() -> None:
+        async with served_store() as store, _nodes(store, "a", "b") as nodes:
+            first, second = nodes
+            store.standin.faults.down = True
+            _record_crashes(first)
+            await eventually(lambda: second.crash_count() == 3)
+            first.ledger.record_answer(_DIGEST)
+            await asyncio.sleep(0.5)
+            store.standin.faults.down = False
+            async with asyncio.timeout(6.0):
+                await eventually(lambda: second.crash_count() == 0)
+
+    run(work)
+
+
+def test_crashes_reported_by_a_lost_entry_are_written_by_another() -> None:
+    """Guards against crashes that no entry writes to the store after an outage.
+
+    The entry that had seen the crashes was lost. No trial run could be claimed at the
+    others without a stored record, so that they kept the request quarantined.
+    """
+
+    async def work() -> None:
+        async with served_store() as store, _nodes(store, "b", "c") as nodes:
+            first, second = nodes
+            async with _node(store, "a") as lost:
+                lost.list_node(first)
+                store.standin.faults.down = True
+                _record_crashes(lost)
+                await eventually(lambda: first.crash_count() == 3)
+            # The last write of the lost entry ends before the store is back.
+            await asyncio.sleep(1.0)
+            store.standin.faults.down = False
+            known = await _wait_for_crashes(second, _REPETITION_S)
+            record = first.ledger.find(_DIGEST)
+            assert record is not None
+            assert (known, record.stored is not None) == (3, True)
+
+    run(work)
