Quarantine: a trial run is kept until an instance begins it

A request that harmed nothing any more was refused for another 120 s: its trial run was tried at instances that were gone but still listed, which refused the connection, and counted as used.

Cause: the claim admitted one try, whatever became of it; the next try of the same attempt needed a claim of its own.

A trial run whose try didn't run is returned to the record, and the next try at this entry takes it. test_a_trial_run_is_kept_until_an_instance_begins_it (lookup, stream) fails without the change.

--- a/pistachioglade/forwarding/tests/test_crashes.py
+++ b/pistachioglade/forwarding/tests/test_crashes.py
@@ -197,3 +197,30 @@
         assert known == [frozenset({"app-0@0"})]
 
     run(work)
+
+
+@pytest.mark.parametrize("kind", _SENDERS)
+def test_a_trial_run_is_kept_until_an_instance_begins_it(
+    kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A claimed trial was used up by a try at an instance that refused connections."""
+    monkeypatch.setattr(_crash_quarantine, "_TRIAL_PAUSES_S", (0.3, 30.0, 30.0))
+
+    async def work() -> None:
+        sender, models = _SENDERS[kind]
+        upstream = _Upstream(models)
+        for _ in range(5):
+            await upstream.add()
+        send = sender(upstream)
+        for _ in range(3):
+            await send()
+        for instance in upstream.instances:
+            instance.stop()
+        await asyncio.sleep(0.35)
+        refused = await send()
+        assert isinstance(refused, Refusal) and refused.did_not_run
+        await upstream.add(is_fatal=False)
+        answers = [await send() for _ in range(3)]
+        assert not all(isinstance(answer, Refusal) for answer in answers), answers
+
+    run(work)
--- a/pistachioglade/quarantine/_guard.py
+++ b/pistachioglade/quarantine/_guard.py
@@ -36,6 +36,8 @@
         self._request_id = request_id
         # Whether an instance has ended during a try.
         self._has_crashed = False
+        # Whether the next try is a trial run.
+        self._is_trial = False
 
     @cached_property
     def digest(self) -> str:
@@ -51,12 +53,16 @@
         if not self._ledger.count:
             return None
         names = frozenset(map(_incarnation, healthy()))
+        if self._ledger.take_unused_trial(self.digest):
+            self._is_trial = True
+            return None
         verdict = self._decide(names)
         match verdict.admission:
             case Admission.SEND:
                 return None
             case Admission.TRIAL:
                 if await self._ledger.claim_trial(self.digest):
+                    self._is_trial = True
                     return None
                 verdict = self._decide(names)
         return _refusal(verdict)
@@ -74,6 +80,9 @@
 
     def record_result(self, instance: Instance, refusal: Refusal | None) -> None:
         """Record the result of a try; ``refusal`` is None if the instance answered."""
+        if self._is_trial and refusal is not None and refusal.did_not_run:
+            self._ledger.return_trial(self.digest)
+        self._is_trial = False
         if refusal is None:
             if self._ledger.count:
                 self._ledger.record_answer(self.digest)
--- a/pistachioglade/quarantine/_ledger.py
+++ b/pistachioglade/quarantine/_ledger.py
@@ -55,6 +55,8 @@
     cleared: frozenset[str] = _NO_INSTANCES
     # Trial runs claimed without the store.
     local_trials: int = 0
+    # Whether this node has claimed a trial run that no instance has begun.
+    has_unused_trial: bool = False
 
     @property
     def _stored_instances(self) -> frozenset[str]:
@@ -174,6 +176,20 @@
         record.changed_s = self._now_s()
         return True
 
+    def return_trial(self, digest: str) -> None:
+        """Keep a claimed trial run for the next try, as no instance has begun it."""
+        record = self._records.get(digest)
+        if record is not None:
+            record.has_unused_trial = True
+
+    def take_unused_trial(self, digest: str) -> bool:
+        """Take back a returned trial run; return whether there was one."""
+        record = self._records.get(digest)
+        if record is None or not record.has_unused_trial:
+            return False
+        record.has_unused_trial = False
+        return is_quarantined(len(record.instances))
+
     def record_crash(self, digest: str, instance: str, request_id: str) -> None:
         """Record that an instance ended while running a request."""
         record = self._find_or_add(digest)
--- a/pistachioglade/quarantine/tests/test_store_records.py
+++ b/pistachioglade/quarantine/tests/test_store_records.py
@@ -143,7 +143,7 @@
 
 
 def test_a_refusal_without_a_claim_says_when_to_return() -> None:
-    """Refusals of a due trial run had no Retry-After while the store was down."""
+    """Refusals of a due trial run named 30 s while another attempt could claim it."""
 
     async def work() -> None:
         ledger = CrashLedger()
