Crash reports: answer with the crashes that the sender doesn't know

An entry that others couldn't reach while the store was down lost three instances by itself to a request that they had quarantined, though it reached them: its own report was only acknowledged.

--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -195,8 +195,17 @@
         run = self._owner.find_run(message.job_id)
         return SampleCrashes({} if run is None else run.crash_counts())
 
-    async def _record_crashes(self, message: InstancesCrashed) -> Acknowledged:
-        self._crashes.record_reported(message.request_digest, message.instances)
+    async def _record_crashes(
+        self, message: InstancesCrashed
+    ) -> Acknowledged | InstancesCrashed:
+        """Record reported crashes; answer with those that the sender doesn't know."""
+        digest = message.request_digest
+        self._crashes.record_reported(digest, message.instances)
+        record = self._crashes.find(digest)
+        known = frozenset() if record is None else record.instances
+        unknown_to_sender = known - set(message.instances)
+        if unknown_to_sender:
+            return InstancesCrashed(digest, tuple(sorted(unknown_to_sender)))
         return Acknowledged()
 
     async def report_crashes(
@@ -207,7 +216,9 @@
         answer = await self._links.call(
             address_of(entry), message, ENTRY_CALL_TIMEOUT_S
         )
-        if isinstance(answer, Acknowledged):
+        if isinstance(answer, InstancesCrashed):
+            self._crashes.record_reported(request_digest, answer.instances)
+        if isinstance(answer, Acknowledged | InstancesCrashed):
             return True
         self._log.info(
             "crashes-not-reported",
--- a/pistachioglade/serving/tests/test_crash_messages.py
+++ b/pistachioglade/serving/tests/test_crash_messages.py
@@ -241,3 +241,22 @@
             assert (known, record.stored is not None) == (3, True)
 
     run(work)
+
+
+def test_the_answer_to_a_report_names_crashes_that_its_sender_lacks() -> None:
+    """Guards against an entry that reaches another one, which can't reach it.
+
+    The entry ended three instances of its own before it quarantined the request.
+    """
+
+    async def work() -> None:
+        async with served_store() as store, _nodes(store, "a", "b") as nodes:
+            first, second = nodes
+            store.standin.faults.down = True
+            second.relay.set_mode(RelayMode.RESET)
+            _record_crashes(first)
+            second.ledger.record_crash(_DIGEST, "i-9", "r")
+            await _wait_for_crashes(second, _REPETITION_S)
+            assert second.crash_count() == first.crash_count() == 4
+
+    run(work)
