Crash records: a record that repeats known crashes doesn't restart the pause

The pause now starts anew only if the instances or trial runs in the record differ from those known. test_a_record_that_repeats_known_crashes_does_not_restart_the_pause fails without the change.

--- a/pistachioglade/quarantine/_ledger.py
+++ b/pistachioglade/quarantine/_ledger.py
@@ -263,8 +263,11 @@
                 return
             # Instances are only removed after another node has seen an answer.
             record.cleared |= record.stored.instances - stored.instances
+        known = record.instances, record.trials
         record.stored = stored
-        record.changed_s = self._now_s()
+        if (record.instances, record.trials) != known:
+            # A record that repeats what is known here restarts no pause.
+            record.changed_s = self._now_s()
         if record.is_unwritten:
             self.has_unwritten.set()
         self._notify_settled(digest)
--- a/pistachioglade/quarantine/tests/test_ledger.py
+++ b/pistachioglade/quarantine/tests/test_ledger.py
@@ -129,6 +129,20 @@
     run_virtual(work)
 
 
+def test_a_record_that_repeats_known_crashes_does_not_restart_the_pause() -> None:
+    """A record written after an outage delayed the trial run by the outage's length."""
+
+    async def work() -> None:
+        ledger = CrashLedger()
+        ledger.record_reported("d", ["i-1", "i-2", "i-3"])
+        await asyncio.sleep(20.0)
+        ledger.apply_stored("d", _stored(5, "i-1", "i-2", "i-3"))
+        await asyncio.sleep(11.0)
+        assert ledger.decide_admission("d", _OPEN).admission is Admission.TRIAL
+
+    run_virtual(work)
+
+
 def test_one_run_at_a_time_from_two_crashes_on() -> None:
     def case(ledger: CrashLedger) -> None:
         ledger.record_reported("d", ["i-1", "i-2"])
