Soak: record interruptions of entries and outages of the store

World.disturbances holds the exit and the start of a process, not the signal and the time of readiness, and doesn't tell an outage of the store from lost answers. Whether an entry could exchange crash reports needs both. The present check reads the same disturbances as before.

The end of one fault that takes the store down no longer ends another: overlapping faults are counted.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -166,9 +166,11 @@
         return
     if fault.number is not signal.SIGSTOP:
         program.is_ended_by_us = True
+        world.interrupt(fault.name)
         process.send_signal(fault.number)
         return
     program.is_frozen = True
+    interruption = world.interrupt(fault.name)
     process.send_signal(signal.SIGSTOP)
     begun_s = asyncio.get_running_loop().time()
     await asyncio.sleep(fault.for_s)
@@ -176,16 +178,18 @@
         process.send_signal(signal.SIGCONT)
     program.is_frozen = False
     ended_s = asyncio.get_running_loop().time()
+    interruption.ended_s = ended_s
     world.delays.append((fault.name, begun_s, ended_s))
     world.disturbances.append((fault.name, begun_s, ended_s))
 
 
 @inject_fault.register
 async def _(fault: KillAll, world: World) -> None:
-    for program in world.entries.values():
+    for name, program in world.entries.items():
         process = program.process.process
         if process is not None and process.returncode is None:
             program.is_ended_by_us = True
+            world.interrupt(name)
             process.send_signal(signal.SIGKILL)
 
 
@@ -215,26 +219,20 @@
 @inject_fault.register
 async def _(fault: StoreFault, world: World) -> None:
     begun_s = asyncio.get_running_loop().time()
-    await _inject_store_fault(fault, world)
-    ended_s = asyncio.get_running_loop().time()
-    world.disturbances.append((STORE, begun_s, ended_s))
-
-
-async def _inject_store_fault(fault: StoreFault, world: World) -> None:
-    faults = world.store.standin.faults
     match fault.how:
         case "down":
-            faults.down = True
-            await asyncio.sleep(fault.for_s)
-            faults.down = False
+            await world.hold_store_down(fault.for_s)
         case "silent":
             world.store.is_silent = True
             await asyncio.sleep(fault.for_s)
             world.store.is_silent = False
+            world.record_outage(begun_s)
         case "lost":
             world.store.dropped_answers += 3
+            world.disturbances.append((STORE, begun_s, begun_s))
         case _:
             world.store.standin._forget_history()
+            world.disturbances.append((STORE, begun_s, begun_s))
 
 
 @inject_fault.register
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -16,6 +16,7 @@
 from pistachioglade.store.tests.served import ServedStore
 from tests.serving import REWARD, Fleet, ServingProcess, configuration
 
+from ._crash_bounds import Interruption
 from ._relay import Relay
 
 #: Model that the trainers name versions of.
@@ -130,6 +131,12 @@
         # Freezes of programs and disturbances of instances' relays, which delay orders:
         # name, begin and end in seconds.
         self.delays: list[tuple[str, float, float]] = []
+        # Times in which entries were frozen, ending, down or starting.
+        self.interruptions: list[Interruption] = []
+        # Begins and ends of outages of the store, in seconds.
+        self.outages: list[tuple[float, float]] = []
+        # Ids of instances that aren't replaced when they crash.
+        self.spares: set[str] = set()
         # Descriptions of violated guarantees.
         self.violations: list[str] = []
         # Numbers of events by kind.
@@ -137,6 +144,8 @@
         # Account of each caller and trainer, by the name that begins its request ids.
         self.accounts: dict[str, str] = {}
         self._numbers = 0
+        # Number of overlapping faults that keep the store down.
+        self._store_downs = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
     def record_violation(self, what: str) -> None:
@@ -192,7 +201,8 @@
         client = self.store.client()
         while await client.delete(names.INSTANCE_KIND, instance.id) is not None:
             await asyncio.sleep(_POLL_INTERVAL_S)
-        await self.add_instance(instance.upstream)
+        if instance.id not in self.spares:
+            await self.add_instance(instance.upstream)
 
     async def _relay_to_store(self) -> Relay:
         relay = Relay(self.store.port)
@@ -238,6 +248,49 @@
         if not task.cancelled() and task.exception() is not None:
             self.record_violation(f"the soak itself failed: {task.exception()!r}")
 
+    # Faults.
+
+    async def hold_store_down(self, for_s: float) -> None:
+        """Take the store down; it returns when the last overlapping fault ends."""
+        faults = self.store.standin.faults
+        self._store_downs += 1
+        faults.down = True
+        begun_s = _now_s()
+        await asyncio.sleep(for_s)
+        self._store_downs -= 1
+        faults.down = self._store_downs > 0
+        self.record_outage(begun_s)
+
+    def record_outage(self, begun_s: float) -> None:
+        """Record an outage of the store that ends now."""
+        self.outages.append((begun_s, _now_s()))
+        self.disturbances.append((STORE, begun_s, _now_s()))
+
+    def interrupt(self, name: str) -> Interruption:
+        """Record that an entry or engine program is interrupted from now on."""
+        interruption = Interruption(name, _now_s())
+        if name in self.entries:
+            self.interruptions.append(interruption)
+        return interruption
+
+    async def _end_interruptions(self, program: Program) -> None:
+        """Wait until a restarted entry is ready; end its interruptions before that."""
+        restarted_s = program.begun_s
+        while not await self._is_ready(program):
+            await asyncio.sleep(_POLL_INTERVAL_S)
+        for item in self.interruptions:
+            is_earlier = item.begun_s <= restarted_s and item.ended_s > restarted_s
+            if item.name == program.process.name and is_earlier:
+                item.ended_s = _now_s()
+
+    @staticmethod
+    async def _is_ready(program: Program) -> bool:
+        try:
+            return await program.process.is_ready()
+        except TimeoutError:
+            # The process is frozen.
+            return False
+
     # Work of the platform.
 
     async def _supervise(self) -> None:
@@ -260,6 +313,8 @@
                 program.begun_s = _now_s()
                 self.disturbances.append((name, ended_s, program.begun_s))
                 await program.process.start()
+                if name in self.entries:
+                    self.spawn(self._end_interruptions(program))
 
     async def _update_instance_entries(self) -> None:
         """Write the instances' current weight versions to their entries."""
