Soak: check crashing requests in outages of the store

An outage within the present faults lasts up to 4 s, and no crashed instance can be replaced in it, so that the three instances bounded the crashes. Half of the pauses of 3 to 5 s are now followed by an outage of 6 to 8 s, before which six instances are added and at which a new crashing request starts. The draws have their own generator, so that other faults draw as before.

--- a/soak/_crashes.py
+++ b/soak/_crashes.py
@@ -15,6 +15,14 @@
 from pistachioglade.standins._fleet_instance import FleetInstance
 from tests.serving import HOST, LOOKUP
 
+from ._crash_bounds import (
+    GRACE_S,
+    MAX_LATE_ATTEMPTS,
+    QUARANTINE_CRASHES,
+    CrashRun,
+    Interruption,
+    OutageJudge,
+)
 from ._world import KEY, World
 
 #: Time for which a request is repeated, in seconds; must exceed the grace period.
@@ -25,13 +33,6 @@
 _REQUEST_PAUSE_S: Final = (0.5, 2.0)
 #: Time for which the caller waits for an answer, in seconds.
 _CALL_TIMEOUT_S: Final = 2.0
-#: Grace period after the third crash, and after a disturbance of an entry or the store,
-#: in which attempts aren't counted, in seconds.
-_GRACE_S: Final = 3.0
-#: Number of crashes after which a request must be quarantined.
-_QUARANTINE_CRASHES: Final = 3
-#: Maximum number of attempts that may reach instances after the grace period.
-_MAX_LATE_ATTEMPTS: Final = 3
 
 
 @attrs.frozen
@@ -55,6 +56,8 @@
         self._world = world
         self._random = random.Random(f"crashes-{seed}")
         self._attempts: list[Attempt] = []
+        # Time until which the current request is repeated, in seconds.
+        self._until_s = 0.0
 
     async def run(self) -> None:
         """Send requests until cancelled."""
@@ -62,11 +65,20 @@
             await asyncio.sleep(self._random.uniform(*_REQUEST_PAUSE_S))
             path = f"{LOOKUP}crash-{number}"
             self._world.crash_paths.add(path)
-            until_s = asyncio.get_running_loop().time() + _REPEAT_S
-            while asyncio.get_running_loop().time() < until_s:
+            self._until_s = asyncio.get_running_loop().time() + _REPEAT_S
+            while asyncio.get_running_loop().time() < self._until_s:
                 await self._call(path)
                 await asyncio.sleep(self._random.uniform(*_ATTEMPT_PAUSE_S))
 
+    def start_next_request(self) -> None:
+        """End the current request; the next one follows after the usual pause.
+
+        Before an outage of the store, ``check_late_attempts`` loses no attempt by this:
+        the outage and the grace period after it outlast the time for which a request is
+        repeated.
+        """
+        self._until_s = 0.0
+
     async def _call(self, path: str) -> None:
         world = self._world
         program = world.entries[self._random.choice(list(world.entries))]
@@ -100,9 +112,9 @@
         for instance, at_s in self._world.crashes:
             crash_times_s[self._crashed_by(instance).path].append(at_s)
         for path, times_s in crash_times_s.items():
-            if len(times_s) >= _QUARANTINE_CRASHES:
+            if len(times_s) >= QUARANTINE_CRASHES:
                 self._check_request(
-                    path, sorted(times_s)[_QUARANTINE_CRASHES - 1] + _GRACE_S
+                    path, sorted(times_s)[QUARANTINE_CRASHES - 1] + GRACE_S
                 )
 
     def _crashed_by(self, instance: FleetInstance) -> Attempt:
@@ -117,7 +129,7 @@
             for attempt in self._attempts
             if attempt.path == path and self._counts_as_late(attempt, grace_end_s)
         ]
-        if len(late) > _MAX_LATE_ATTEMPTS:
+        if len(late) > MAX_LATE_ATTEMPTS:
             self._world.record_violation(
                 f"{path}: {len(late)} attempts ran after {grace_end_s:.2f} s: {late}"
             )
@@ -129,5 +141,65 @@
             for instance in self._world.fleet.instances
         )
         return max(begun_s) > grace_end_s and self._world.is_undisturbed(
-            attempt.entry, attempt.sent_s, _GRACE_S
+            attempt.entry, attempt.sent_s, GRACE_S
+        )
+
+    def check_outages(self) -> None:
+        """Check that entries share crashes while only the store is away."""
+        for path in sorted(self._world.crash_paths):
+            judge = self._judge(path)
+            if judge is None:
+                continue
+            self._count_judged(path, judge)
+            found = ", ".join(judge.find_violations(len(self._world.entries)))
+            if found:
+                self._world.record_violation(
+                    f"{path} in an outage of the store: {found}: {judge.describe()}"
+                )
+
+    def _judge(self, path: str) -> OutageJudge | None:
+        """Return the judge of a request's runs; None if it was never sent."""
+        sent_s = [item.sent_s for item in self._attempts if item.path == path]
+        if not sent_s:
+            return None
+        crashed_by = (
+            (self._crashed_by(instance), instance, at_s)
+            for instance, at_s in self._world.crashes
         )
+        runs = [
+            CrashRun(
+                attempt.entry,
+                instance.id,
+                attempt.sent_s,
+                instance.begun_s[attempt.id],
+                at_s,
+            )
+            for attempt, instance, at_s in crashed_by
+            if attempt.path == path
+        ]
+        relay_faults = (
+            Interruption(*delay)
+            for delay in self._world.delays
+            if delay[0] in self._world.instance_relays
+        )
+        return OutageJudge(
+            runs,
+            min(sent_s),
+            self._world.outages,
+            [*self._world.interruptions, *relay_faults],
+        )
+
+    def _count_judged(self, path: str, judge: OutageJudge) -> None:
+        """Count the attempts at which a run would have been counted."""
+        for attempt in self._attempts:
+            at_s = attempt.sent_s
+            if (
+                attempt.path != path
+                or not judge.is_store_away(at_s)
+                or not judge.is_connected(attempt.entry, at_s)
+            ):
+                continue
+            if judge.count_known(at_s) >= QUARANTINE_CRASHES:
+                self._world.counts["outage attempt"] += 1
+            if judge.count_known(at_s, GRACE_S) >= QUARANTINE_CRASHES:
+                self._world.counts["late outage attempt"] += 1
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -16,6 +16,7 @@
 from ._callers import Caller, ConfigurationProbe, LateReader
 from ._crashes import CrashingCaller
 from ._faults import draw_fault, inject_fault
+from ._outages import StoreOutages
 from ._trainers import Trainer
 from ._world import PRIORITIES, World, soak_configuration
 
@@ -73,6 +74,7 @@
     def __init__(self, world: World, sizes: Sizes, seed: int) -> None:
         self._world = world
         self._crashing_caller = CrashingCaller(world, seed)
+        self._outages = StoreOutages(world, self._crashing_caller, seed)
         self._sizes = sizes
         accounts = cycle(PRIORITIES)
         self._late_readers = [
@@ -109,7 +111,9 @@
             )
         ]
         operator = world.spawn(self._change_configuration())
-        await self._inject_faults(duration_s)
+        await asyncio.gather(
+            self._inject_faults(duration_s), self._outages.run(duration_s)
+        )
         operator.cancel()
         world.healed_s = asyncio.get_running_loop().time()
         await asyncio.sleep(_SETTLE_S)
@@ -171,6 +175,7 @@
         for caller in (*self._callers, *self._late_readers, *self._bursts.callers):
             caller.check_runs()
         self._crashing_caller.check_late_attempts()
+        self._crashing_caller.check_outages()
         self._check_orders()
         self._check_accounts()
         await self._check_usage()
