--- a/tests/without.py
+++ b/tests/without.py
@@ -192,6 +192,27 @@
         "if True:",
         (f"{_CRASHES}::test_crashes_are_known_to_all_entries_while_the_store_is_down",),
     ),
+    Mechanism(
+        "crashes: reports are repeated until they are acknowledged",
+        "quarantine/_reports.py",
+        "peer.pending |= dict.fromkeys(self._reported)",
+        "pass",
+        ("pistachioglade/serving/tests/test_crash_messages.py",),
+    ),
+    Mechanism(
+        "crashes: entries that were unlisted lately get reports",
+        "serving/_members.py",
+        "(self.owner_names | self._removed_s.keys())",
+        "self.owner_names",
+        ("tests/test_serving_crash_reports.py",),
+    ),
+    Mechanism(
+        "crashes: a failure is answered once other entries know of its crashes",
+        "quarantine/_guard.py",
+        "if self._has_crashed and timeout_s > 0.0:",
+        "if False:",
+        ("pistachioglade/forwarding/tests/test_crashes.py",),
+    ),
     Mechanism(
         "crashes: a request with two crashes is kept from the last instance",
         "decisions/_crash_quarantine.py",
