Crash reports: wait for entries whose link fails for a moment

Callers crashed six instances in the forced order in which the links of one entry are refused for 0.2 s from the first crash on: the report failed at once, the entry counted as unreachable, and the caller was answered and went on to it.

An entry now counts as lost, and isn't waited for, once no report has been acknowledged for 1 s. test_callers_wait_for_an_entry_whose_link_fails_for_a_moment fails without the change.

--- a/pistachioglade/quarantine/_reports.py
+++ b/pistachioglade/quarantine/_reports.py
@@ -21,6 +21,9 @@
 #: another attempt to connect, one after the other.
 _MAX_IN_FLIGHT_UNPROVEN: Final = 4
 
+#: Time without an acknowledgement after which callers no longer wait for an entry. A
+#: link that fails for a moment is open again by then.
+_LOST_AFTER_S: Final = 1.0
 #: Maximum number of entries that a log line names.
 _MAX_LOGGED_ENTRIES: Final = 8
 
@@ -39,8 +42,11 @@
     acknowledged: dict[str, frozenset[str]] = attrs.field(factory=dict)
     # Number of reports without an answer yet.
     in_flight: int = 0
-    # Whether the last report was acknowledged; None before the first outcome.
-    is_reachable: bool | None = None
+    # Whether the last report was acknowledged.
+    is_reachable: bool = False
+    # Monotonic time of the first failure since the last acknowledgement, in seconds;
+    # None if there was none.
+    failing_since_s: float | None = None
 
     @property
     def has_capacity(self) -> bool:
@@ -48,6 +54,19 @@
         limit = _MAX_IN_FLIGHT if self.is_reachable else _MAX_IN_FLIGHT_UNPROVEN
         return self.in_flight < limit
 
+    def record_outcome(self, is_acknowledged: bool, now_s: float) -> None:
+        """Record whether the entry acknowledged a report."""
+        self.is_reachable = is_acknowledged
+        if is_acknowledged:
+            self.failing_since_s = None
+        elif self.failing_since_s is None:
+            self.failing_since_s = now_s
+
+    def is_lost(self, now_s: float) -> bool:
+        """Whether callers no longer wait for the entry."""
+        since_s = self.failing_since_s
+        return since_s is not None and now_s - since_s >= _LOST_AFTER_S
+
     def knows(self, digest: str, instances: frozenset[str]) -> bool:
         """Whether the entry has acknowledged these crashes."""
         return instances <= self.acknowledged.get(digest, frozenset())
@@ -134,7 +153,7 @@
             is_acknowledged = await self._send(name, digest, instances)
         finally:
             peer.in_flight -= 1
-            peer.is_reachable = is_acknowledged
+            peer.record_outcome(is_acknowledged, asyncio.get_running_loop().time())
             if is_acknowledged:
                 known = peer.acknowledged.get(digest, frozenset())
                 peer.acknowledged[digest] = known | instances
@@ -150,10 +169,8 @@
                 "crashes-shared",
                 request_digest=digest,
                 crashes=len(instances),
-                entries=sum(item.is_reachable is True for item in self._peers.values()),
-                unreachable=sum(
-                    item.is_reachable is False for item in self._peers.values()
-                ),
+                entries=sum(item.is_reachable for item in self._peers.values()),
+                unreachable=sum(not item.is_reachable for item in self._peers.values()),
             )
 
     def _finish(self, task: asyncio.Task[None]) -> None:
@@ -195,8 +212,9 @@
         unstored = self._ledger.unstored_instances(digest)
         if not unstored:
             return True
+        now_s = asyncio.get_running_loop().time()
         return digest in self._reported and all(
-            peer.is_reachable is False or peer.knows(digest, unstored)
+            peer.knows(digest, unstored) or peer.is_lost(now_s)
             for peer in self._peers.values()
         )
 
