Crash reports: forget failures of entries once all crashes are stored

An entry that had missed one report, however long ago, counted as lost in the next outage, and callers were answered before it could know of the crashes. What is known of the other entries now ends with the last unstored crash, which also bounds that state.

test_callers_wait_for_an_entry_that_was_lost_in_an_earlier_outage fails without the change.

--- a/pistachioglade/quarantine/_reports.py
+++ b/pistachioglade/quarantine/_reports.py
@@ -201,6 +201,8 @@
             peer.acknowledged.pop(digest, None)
         if not self._reported:
             self._has_reported.clear()
+            # An earlier failure of an entry says nothing about the next outage.
+            self._peers = {}
 
     def _notify_waiters(self, digest: str) -> None:
         progress = self._progress.pop(digest, None)
--- a/pistachioglade/quarantine/tests/test_reports.py
+++ b/pistachioglade/quarantine/tests/test_reports.py
@@ -261,6 +261,25 @@
     _run_case(case)
 
 
+def test_callers_wait_for_an_entry_that_was_lost_in_an_earlier_outage() -> None:
+    """An entry that had failed once counted as lost until its next acknowledgement."""
+
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        entries.silent.add("b")
+        _crash(ledger, "i-1", "i-2")
+        await asyncio.sleep(2.0)
+        ledger.apply_stored("d", StoredCrashes(frozenset({"i-1", "i-2"}), 0, 5))
+        await asyncio.sleep(5.0)
+        entries.silent.clear()
+        entries.refusing.add("b")
+        asyncio.get_running_loop().call_later(0.2, entries.refusing.clear)
+        _crash(ledger, "i-3")
+        await _wait_time_s(ledger)
+        assert entries.known("b") == {"i-1", "i-2", "i-3"}
+
+    _run_case(case)
+
+
 def test_a_wait_is_bounded() -> None:
     async def case(ledger: CrashLedger, entries: _Entries) -> None:
         entries.silent.add("b")
