Crash reports: repeat them to an entry whose connection was replaced

A caller crashed three more instances, six in all, at an entry that had been killed and restarted while the store was down.

Cause: the process before it had acknowledged the reports, and no report failed afterwards.

--- a/pistachioglade/links/_client.py
+++ b/pistachioglade/links/_client.py
@@ -169,6 +169,11 @@
         if link is not None:
             await link.close()
 
+    def open_link(self, address: str) -> Link | None:
+        """Return the open link to an address; None if there is none."""
+        link = self._links.get(address)
+        return link if link is not None and link.is_open else None
+
     def addresses(self) -> tuple[str, ...]:
         """Return the addresses that have a link."""
         return tuple(self._links)
--- a/pistachioglade/quarantine/_reports.py
+++ b/pistachioglade/quarantine/_reports.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from itertools import islice, product
 from typing import Final
 
@@ -30,6 +30,13 @@
 #: Sends a request's digest and its crashed instances to the named entry; returns
 #: whether the entry acknowledged them.
 SendReport = Callable[[str, str, frozenset[str]], Awaitable[bool]]
+#: Returns an object that identifies the open connection to the named entry; None if
+#: there is none.
+FindConnection = Callable[[str], object | None]
+
+
+def _no_connection(entry: str) -> None:
+    """Return None; used where the entries' processes aren't replaced."""
 
 
 @attrs.define(eq=False)
@@ -40,6 +47,8 @@
     pending: dict[str, None] = attrs.field(factory=dict)
     # Crashed instances that the entry has acknowledged, by request digest.
     acknowledged: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    # Connection over which the entry sent the last acknowledgement.
+    connection: object | None = None
     # Number of reports without an answer yet.
     in_flight: int = 0
     # Whether the last report was acknowledged.
@@ -71,6 +80,11 @@
         """Whether the entry has acknowledged these crashes."""
         return instances <= self.acknowledged.get(digest, frozenset())
 
+    def report_again(self, digests: Iterable[str]) -> None:
+        """Report requests again, since the entry's process may have been replaced."""
+        self.acknowledged.clear()
+        self.pending |= dict.fromkeys(digests)
+
 
 class CrashReports:
     """Reports unstored crashes to each other entry until the entry acknowledges them.
@@ -84,11 +98,13 @@
         ledger: CrashLedger,
         entry_names: Callable[[], Collection[str]],
         send: SendReport,
+        find_connection: FindConnection = _no_connection,
     ) -> None:
         self._ledger = ledger
         # Returns the names of the other entries that may serve callers.
         self._entry_names = entry_names
         self._send = send
+        self._find_connection = find_connection
         self._log = logger(__name__)
         self._peers: dict[str, _Peer] = {}
         # Requests with reported crashes that the store may not hold yet.
@@ -157,10 +173,9 @@
             if is_acknowledged:
                 known = peer.acknowledged.get(digest, frozenset())
                 peer.acknowledged[digest] = known | instances
+                peer.connection = self._find_connection(name)
             else:
-                # A process that has been replaced knows nothing of earlier reports.
-                peer.acknowledged.clear()
-                peer.pending |= dict.fromkeys(self._reported)
+                peer.report_again(self._reported)
             self._notify_waiters(digest)
         if is_acknowledged:
             self._send_pending(name, peer)
@@ -187,6 +202,11 @@
             self._drop_stored()
             self._update_peers()
             for name, peer in self._peers.items():
+                connection = self._find_connection(name)
+                if peer.acknowledged and connection is not peer.connection:
+                    # Once all reports are acknowledged, none fails any more. Only the
+                    # lost connection shows that the process may have been replaced.
+                    peer.report_again(self._reported)
                 self._send_pending(name, peer)
 
     def _drop_stored(self) -> None:
--- a/pistachioglade/quarantine/tests/test_reports.py
+++ b/pistachioglade/quarantine/tests/test_reports.py
@@ -36,6 +36,8 @@
     received: defaultdict[str, list[tuple[float, frozenset[str]]]] = attrs.field(
         factory=lambda: defaultdict(list)
     )
+    # Number of times that an entry's process was replaced, by entry.
+    restarts: defaultdict[str, int] = attrs.field(factory=lambda: defaultdict(int))
     # Number of started sends by entry.
     sends: defaultdict[str, int] = attrs.field(factory=lambda: defaultdict(int))
 
@@ -54,6 +56,14 @@
         await asyncio.sleep(_ROUND_TRIP_S / 2)
         return True
 
+    def restart(self, entry: str) -> None:
+        """Replace an entry's process, which knows no crashes afterwards."""
+        self.received[entry].clear()
+        self.restarts[entry] += 1
+
+    def find_connection(self, entry: str) -> int:
+        return self.restarts[entry]
+
     def known(self, entry: str) -> frozenset[str]:
         """Return the crashes that an entry has been told of."""
         return frozenset().union(*(names for _, names in self.received[entry]))
@@ -66,7 +76,9 @@
     async def work() -> None:
         others = entries or _Entries()
         ledger = CrashLedger()
-        reports = CrashReports(ledger, lambda: others.listed, others.send)
+        reports = CrashReports(
+            ledger, lambda: others.listed, others.send, others.find_connection
+        )
         task = asyncio.create_task(reports.run())
         await case(ledger, others)
         task.cancel()
@@ -140,6 +152,20 @@
     _run_case(case)
 
 
+def test_an_entry_that_is_replaced_is_told_of_earlier_crashes() -> None:
+    """The new process ran the request, since the earlier one had acknowledged it."""
+
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        _crash(ledger, "i-1", "i-2")
+        await asyncio.sleep(1.0)
+        entries.restart("b")
+        await asyncio.sleep(0.5)
+        assert entries.known("b") == {"i-1", "i-2"}
+        assert entries.sends["c"] == 1
+
+    _run_case(case)
+
+
 def test_an_error_of_a_send_does_not_end_the_reports() -> None:
     """An error ended the task that sent the only report, without a log line."""
 
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -195,6 +195,7 @@
             self._crashes,
             self._members.names_that_may_serve,
             self._peers.report_crashes,
+            self._peers.link_to,
         )
         self._neighbour = NeighbourWatch(
             self._members,
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -27,7 +27,7 @@
     parse_name,
     submission_text,
 )
-from ..links import LinkPool
+from ..links import Link, LinkPool
 from ..logs import logger
 from ..messages import (
     Acknowledged,
@@ -228,6 +228,10 @@
         )
         return False
 
+    def link_to(self, entry: str) -> Link | None:
+        """Return the open link to an entry; None if there is none."""
+        return self._links.open_link(address_of(entry))
+
     async def notify_owner(self, owner: str, entry: Entry) -> bool:
         """Send a job's owner a record that its watch would return a little later.
 
