Crash reports: don't wait for entries that are known to be silent

While no other entry could be reached in an outage of the store, each request that failed with its first crash was answered 0.5 s late: the wait ended only when a report of that request had failed, which takes 0.5 s or, behind four other reports, longer.

The wait now ends as soon as the report is due and no entry that answers lacks it. test_callers_do_not_wait_if_no_other_entry_can_be_reached waits for 1.3 s without the change (with a bound of 30 s).

--- a/pistachioglade/quarantine/_reports.py
+++ b/pistachioglade/quarantine/_reports.py
@@ -136,7 +136,7 @@
         for name, peer in self._peers.items():
             peer.pending[digest] = None
             self._send_pending(name, peer)
-        if not self._peers:
+        if self._is_shared(digest):
             self._notify_waiters(digest)
 
     def _update_peers(self) -> None:
--- a/pistachioglade/quarantine/tests/test_reports.py
+++ b/pistachioglade/quarantine/tests/test_reports.py
@@ -305,6 +305,20 @@
     _run_case(case)
 
 
+def test_callers_do_not_wait_if_no_other_entry_can_be_reached() -> None:
+    """Each failed request waited 0.5 s for entries that were known to be silent."""
+
+    async def case(ledger: CrashLedger, entries: _Entries) -> None:
+        entries.silent |= {"b", "c"}
+        for number in range(10):
+            ledger.record_crash(f"d-{number}", "i-1", "r")
+        await asyncio.sleep(2.0)
+        _crash(ledger, "i-1")
+        assert await _wait_time_s(ledger) <= 0.06
+
+    _run_case(case)
+
+
 def test_callers_wait_for_an_entry_that_was_lost_in_an_earlier_outage() -> None:
     """An entry that had failed once counted as lost until its next acknowledgement."""
 
