--- a/pistachioglade/quarantine/_guard.py
+++ b/pistachioglade/quarantine/_guard.py
@@ -68,7 +68,10 @@
         return _refusal(verdict)
 
     def _decide(self, open_instances: frozenset[str]) -> AdmissionDecision:
-        is_running = self._ledger.runs.is_running(self._outline, self.digest)
+        # Requests without crashes run at any time, so their runs needn't be compared.
+        is_running = self._ledger.find(
+            self.digest
+        ) is not None and self._ledger.runs.is_running(self._outline, self.digest)
         return self._ledger.decide_admission(self.digest, open_instances, is_running)
 
     def running(self) -> AbstractContextManager[None]:
