Quarantine: a run that began before the first crash counts for a second

Such a run now counts for one second from its start: a request that ends its instance usually does so sooner. Runs that began with a crash record count to their end, as before.

--- a/pistachioglade/decisions/_crash_quarantine.py
+++ b/pistachioglade/decisions/_crash_quarantine.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from math import inf
 from typing import Final
 
 import attrs
@@ -24,6 +25,10 @@
 #: request runs on the only instance, so that an upstream with one instance still
 #: serves the request.
 _SPARE_WAIT_S: Final = 10.0
+#: Time for which a run counts that began before its request had a crash record. Such a
+#: run may be a long stream that harms nothing, and each equal request is refused while
+#: it counts.
+_COUNTED_RUN_S: Final = 1.0
 #: Retry-After of a request whose trial run can't be claimed: the store doesn't answer,
 #: or another entry has just claimed the trial.
 UNCLAIMED_TRIAL_WAIT_S: Final = 2.0
@@ -126,6 +131,14 @@
     )
 
 
+def counted_run_s(has_record: bool) -> float:
+    """Return how long a run counts as in progress at most.
+
+    ``has_record`` tells whether its request had a crash record at the start.
+    """
+    return inf if has_record else _COUNTED_RUN_S
+
+
 def report_delay_s(crashes: int) -> float:
     """Return how long after a crash other entries are told of it, if it isn't stored.
 
--- a/pistachioglade/quarantine/_guard.py
+++ b/pistachioglade/quarantine/_guard.py
@@ -76,7 +76,10 @@
 
     def running(self) -> AbstractContextManager[None]:
         """Count a run of the request while the context is active."""
-        return self._ledger.runs.register(self._outline, self._get_digest)
+        has_record = (
+            self._ledger.count > 0 and self._ledger.find(self.digest) is not None
+        )
+        return self._ledger.runs.register(self._outline, self._get_digest, has_record)
 
     def _get_digest(self) -> str:
         return self.digest
--- a/pistachioglade/quarantine/tests/test_runs.py
+++ b/pistachioglade/quarantine/tests/test_runs.py
@@ -2,27 +2,57 @@
 
 from __future__ import annotations
 
-from ...http1 import Request
+import asyncio
+
+import pytest
+
 from ...store.tests.scripted import run_virtual
-from .. import CrashLedger, RequestGuard
 from .._runs import RunningRequests
 
 _OUTLINE = ("POST", "/a", 9)
 
 
+async def _run_long(runs: RunningRequests, has_record: bool) -> list[bool]:
+    """Return whether a run counts at its start and 5 s later."""
+    with runs.register(_OUTLINE, lambda: "d", has_record):
+        first = runs.is_running(_OUTLINE, "d")
+        await asyncio.sleep(5.0)
+        return [first, runs.is_running(_OUTLINE, "d")]
+
+
+@pytest.mark.parametrize(
+    ("has_record", "expected"), [(True, [True, True]), (False, [True, False])]
+)
+def test_a_long_run_counts_only_if_its_request_had_crashes(
+    has_record: bool, expected: list[bool]
+) -> None:
+    """Requests equal to a long stream were refused until the stream's end."""
+    assert run_virtual(lambda: _run_long(RunningRequests(), has_record)) == expected
+
+
 def test_a_run_counts_while_it_is_in_progress() -> None:
-    runs = RunningRequests()
-    with runs.register(_OUTLINE, lambda: "d"):
-        with runs.register(_OUTLINE, lambda: "d"):
+    """One of two equal runs that ended took the other one out."""
+
+    async def work() -> None:
+        runs = RunningRequests()
+        with runs.register(_OUTLINE, lambda: "d", True):
+            with runs.register(_OUTLINE, lambda: "d", True):
+                assert runs.is_running(_OUTLINE, "d")
             assert runs.is_running(_OUTLINE, "d")
-        assert runs.is_running(_OUTLINE, "d")
-    assert not runs.is_running(_OUTLINE, "d")
+        assert not runs.is_running(_OUTLINE, "d")
+
+    run_virtual(work)
 
 
 def test_other_requests_with_the_same_outline_are_other_requests() -> None:
-    runs = RunningRequests()
-    with runs.register(_OUTLINE, lambda: "other"):
-        assert not runs.is_running(_OUTLINE, "d")
+    """A request was refused because of another one to the same path."""
+
+    async def work() -> None:
+        runs = RunningRequests()
+        with runs.register(_OUTLINE, lambda: "other", True):
+            assert not runs.is_running(_OUTLINE, "d")
+
+    run_virtual(work)
 
 
 def test_digests_are_computed_only_for_requests_with_the_same_outline() -> None:
@@ -33,27 +63,13 @@
         computed.append("d")
         return "d"
 
-    runs = RunningRequests()
-    with runs.register(("POST", "/b", 9), digest), runs.register(_OUTLINE, digest):
-        assert runs.is_running(_OUTLINE, "d")
-    assert computed == ["d"]
-
-
-def test_requests_without_crashes_are_not_compared_with_running_ones() -> None:
-    """One crash record made each admission compare all runs with the same outline."""
-
     async def work() -> None:
-        ledger = CrashLedger()
-        ledger.record_crash("other", "i-1", "r")
-        computed: list[str] = []
-
-        def digest() -> str:
-            computed.append("d")
-            return "d"
-
-        with ledger.runs.register(_OUTLINE, digest):
-            request = Request("POST", "/a", (("Host", "h"),), b"123456789", 0.0)
-            assert await RequestGuard(ledger, request, "r").admit(lambda: ()) is None
-        assert not computed
+        runs = RunningRequests()
+        with (
+            runs.register(("POST", "/b", 9), digest, True),
+            runs.register(_OUTLINE, digest, True),
+        ):
+            assert runs.is_running(_OUTLINE, "d")
 
     run_virtual(work)
+    assert computed == ["d"]
