Quarantine: at most one claim of a trial run in two seconds

Each attempt of a quarantined request whose trial run was due waited up to 0.3 s for a claim of its own while the store was down, and held an admission place meanwhile: 40 writes for 20 attempts. Reports that fail again and again logged a line each, about eight a second for an entry that stays silent (read).

--- a/pistachioglade/quarantine/_ledger.py
+++ b/pistachioglade/quarantine/_ledger.py
@@ -55,6 +55,8 @@
     cleared: frozenset[str] = _NO_INSTANCES
     # Trial runs claimed without the store.
     local_trials: int = 0
+    # Monotonic time before which this node makes no claim, in seconds.
+    next_claim_s: float = 0.0
     # Whether this node has claimed a trial run that no instance has begun.
     has_unused_trial: bool = False
 
--- a/pistachioglade/quarantine/_store_records.py
+++ b/pistachioglade/quarantine/_store_records.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final
 
+from ..decisions import UNCLAIMED_TRIAL_WAIT_S
 from ..errors import ErrorKind, Refusal, refuse
 from ..logs import logger
 from ..platform import Entry
@@ -143,8 +144,10 @@
     async def claim_trial(self, digest: str) -> bool:
         """Claim the next trial run of a request; at most one node succeeds."""
         record = self._ledger.find(digest)
-        if record is None:
+        now_s = asyncio.get_running_loop().time()
+        if record is None or now_s < record.next_claim_s:
             return False
+        record.next_claim_s = now_s + UNCLAIMED_TRIAL_WAIT_S
         try:
             async with asyncio.timeout(_CLAIM_TIMEOUT_S):
                 stored = await self._write_claim(digest, record)
--- a/pistachioglade/quarantine/tests/test_store_records.py
+++ b/pistachioglade/quarantine/tests/test_store_records.py
@@ -142,6 +142,25 @@
     run(work)
 
 
+def test_claims_in_an_outage_make_few_calls_to_the_store() -> None:
+    """Each attempt waited for a claim of its own while the store was down."""
+
+    async def work() -> None:
+        async with served_store() as store, _nodes(store, 1) as nodes:
+            node = nodes[0]
+            node.ledger.record_reported("d", ["i-1", "i-2", "i-3"])
+            store.standin.faults.down = True
+            calls = len(store.calls)
+            claims = await asyncio.gather(
+                *(node.records.claim_trial("d") for _ in range(20))
+            )
+            assert not any(claims)
+            writes = [call for call in store.calls[calls:] if call.startswith("PO")]
+            assert 1 <= len(writes) <= 5, writes
+
+    run(work)
+
+
 def test_a_refusal_without_a_claim_says_when_to_return() -> None:
     """Refusals of a due trial run named 30 s while another attempt could claim it."""
 
--- a/pistachioglade/serving/_peers.py
+++ b/pistachioglade/serving/_peers.py
@@ -87,6 +87,8 @@
         policy: Policy = FULL_POLICY,
     ) -> None:
         self._crashes = crashes
+        # Entries that have missed their last report of crashes.
+        self._uninformed: set[str] = set()
         self._policy = policy
         self._members = members
         self._view = view
@@ -218,15 +220,19 @@
         )
         if isinstance(answer, InstancesCrashed):
             self._crashes.record_reported(request_digest, answer.instances)
-        if isinstance(answer, Acknowledged | InstancesCrashed):
-            return True
-        self._log.info(
-            "crashes-not-reported",
-            entry=entry,
-            request_digest=request_digest,
-            reason=getattr(answer, "reason", ""),
-        )
-        return False
+        is_known = isinstance(answer, Acknowledged | InstancesCrashed)
+        if is_known:
+            self._uninformed.discard(entry)
+        elif entry not in self._uninformed:
+            # Failed reports are repeated several times a second.
+            self._uninformed.add(entry)
+            self._log.info(
+                "crashes-not-reported",
+                entry=entry,
+                request_digest=request_digest,
+                reason=getattr(answer, "reason", ""),
+            )
+        return is_known
 
     def link_to(self, entry: str) -> Link | None:
         """Return the open link to an entry; None if there is none."""
