--- a/pistachioglade/decisions/_crash_quarantine.py
+++ b/pistachioglade/decisions/_crash_quarantine.py
@@ -41,7 +41,7 @@
 #: told directly. The store usually answers sooner, and tells them by their watches.
 _FIRST_REPORT_DELAY_S: Final = 0.05
 #: Longest wait, before a failed request is answered, for the other entries to know of
-#: its crashes. Covers an entry that is busy for some tenths of a second.
+#: its crashes. As long as the timeout of a call to an entry, which may be busy.
 MAX_SHARE_WAIT_S: Final = 0.5
 #: First pause of a sample that has crashed engines.
 _SAMPLE_PAUSE_S: Final = 1.0
--- a/pistachioglade/quarantine/_guard.py
+++ b/pistachioglade/quarantine/_guard.py
@@ -69,17 +69,20 @@
 
     def _decide(self, open_instances: frozenset[str]) -> AdmissionDecision:
         # Requests without crashes run at any time, so their runs needn't be compared.
-        is_running = self._ledger.find(
-            self.digest
-        ) is not None and self._ledger.runs.is_running(self._outline, self.digest)
+        is_running = self._has_record() and self._ledger.runs.is_running(
+            self._outline, self.digest
+        )
         return self._ledger.decide_admission(self.digest, open_instances, is_running)
 
+    def _has_record(self) -> bool:
+        # No digest is computed while no request has a record.
+        return self._ledger.count > 0 and self._ledger.find(self.digest) is not None
+
     def running(self) -> AbstractContextManager[None]:
         """Count a run of the request while the context is active."""
-        has_record = (
-            self._ledger.count > 0 and self._ledger.find(self.digest) is not None
+        return self._ledger.runs.register(
+            self._outline, self._get_digest, self._has_record()
         )
-        return self._ledger.runs.register(self._outline, self._get_digest, has_record)
 
     def _get_digest(self) -> str:
         return self.digest
--- a/pistachioglade/quarantine/_reports.py
+++ b/pistachioglade/quarantine/_reports.py
@@ -17,10 +17,9 @@
 _REPEAT_INTERVAL_S: Final = 0.25
 #: Maximum number of unanswered reports to an entry whose last report was acknowledged.
 _MAX_IN_FLIGHT: Final = 64
-#: The same for any other entry. Each report to an entry that can't be reached makes
-#: another attempt to connect, one after the other.
+#: Maximum number of unanswered reports to an entry that hasn't acknowledged its last
+#: report. If its link is not open, each of them makes another attempt to open it.
 _MAX_IN_FLIGHT_UNPROVEN: Final = 4
-
 #: Time without an acknowledgement after which callers no longer wait for an entry. A
 #: link that fails for a moment is open again by then.
 _LOST_AFTER_S: Final = 1.0
@@ -112,13 +111,13 @@
         self._has_reported = asyncio.Event()
         # Reports without an answer yet.
         self._sending: set[asyncio.Task[None]] = set()
-        # Set when the request's crashes may be known to all entries, by digest.
+        # Events that wake the waits for a request's crashes to be shared, by digest.
         self._progress: dict[str, asyncio.Event] = {}
-        ledger.on_crash.append(self._schedule)
+        ledger.on_crash.append(self._schedule_report)
         ledger.on_settled.append(self._notify_waiters)
         ledger.wait_until_shared = self.wait_until_shared
 
-    def _schedule(self, digest: str) -> None:
+    def _schedule_report(self, digest: str) -> None:
         """Report a request's crashes as soon as they are due."""
         record = self._ledger.find(digest)
         delay_s = report_delay_s(0 if record is None else len(record.instances))
@@ -230,7 +229,7 @@
             progress.set()
 
     def _is_shared(self, digest: str) -> bool:
-        """Whether the store or each entry that answers holds a request's crashes."""
+        """Whether the store or each entry that isn't lost holds a request's crashes."""
         unstored = self._ledger.unstored_instances(digest)
         if not unstored:
             return True
--- a/pistachioglade/quarantine/tests/test_reports.py
+++ b/pistachioglade/quarantine/tests/test_reports.py
@@ -103,6 +103,8 @@
 
 
 def test_a_first_crash_that_is_stored_in_time_is_not_reported() -> None:
+    """Each crash would cost a message to each entry, also with the store up."""
+
     async def case(ledger: CrashLedger, entries: _Entries) -> None:
         _crash(ledger, "i-1")
         await asyncio.sleep(0.02)
@@ -114,6 +116,8 @@
 
 
 def test_a_first_crash_that_is_not_stored_in_time_is_reported_once() -> None:
+    """An acknowledged report was repeated, or a first crash was never reported."""
+
     async def case(ledger: CrashLedger, entries: _Entries) -> None:
         _crash(ledger, "i-1")
         await asyncio.sleep(5.0)
@@ -229,6 +233,8 @@
 
 
 def test_reports_end_once_the_store_holds_the_crashes() -> None:
+    """Reports to a lost entry went on after the outage."""
+
     async def case(ledger: CrashLedger, entries: _Entries) -> None:
         entries.silent.add("b")
         _crash(ledger, "i-1", "i-2")
@@ -263,6 +269,8 @@
 
 
 def test_a_wait_ends_when_the_store_holds_the_crashes() -> None:
+    """Callers waited for reports though the store had the crashes."""
+
     async def case(ledger: CrashLedger, entries: _Entries) -> None:
         _crash(ledger, "i-1")
         stored = StoredCrashes(frozenset({"i-1"}), 0, 5)
@@ -273,6 +281,8 @@
 
 
 def test_a_wait_ends_when_the_request_is_answered() -> None:
+    """Callers waited for reports of crashes that an answer had cleared."""
+
     async def case(ledger: CrashLedger, entries: _Entries) -> None:
         _crash(ledger, "i-1")
         asyncio.get_running_loop().call_later(0.02, ledger.record_answer, "d")
@@ -295,6 +305,8 @@
 
 
 def test_callers_do_not_wait_for_an_entry_that_is_lost() -> None:
+    """Each failure was answered late for as long as one entry was lost."""
+
     async def case(ledger: CrashLedger, entries: _Entries) -> None:
         entries.silent.add("b")
         _crash(ledger, "i-1", "i-2")
@@ -339,6 +351,8 @@
 
 
 def test_a_wait_is_bounded() -> None:
+    """A caller waited for a silent entry beyond the bound of the wait."""
+
     async def case(ledger: CrashLedger, entries: _Entries) -> None:
         entries.silent.add("b")
         _crash(ledger, "i-1", "i-2")
@@ -349,6 +363,8 @@
 
 
 def test_a_single_entry_does_not_wait_for_others() -> None:
+    """A caller of a deployment with one entry waited for the bound."""
+
     async def case(ledger: CrashLedger, entries: _Entries) -> None:
         _crash(ledger, "i-1")
         assert await _wait_time_s(ledger) <= 0.06
--- a/pistachioglade/quarantine/tests/test_store_records.py
+++ b/pistachioglade/quarantine/tests/test_store_records.py
@@ -33,7 +33,7 @@
     ledger: CrashLedger
     records: CrashRecordStore
     # Crashes that the entry has reported to another entry.
-    broadcasts: list[tuple[str, frozenset[str]]]
+    reports_sent: list[tuple[str, frozenset[str]]]
 
     def instances(self) -> set[str]:
         record = self.ledger.find("d")
@@ -50,22 +50,22 @@
     tasks = []
     for _ in range(count):
         ledger = CrashLedger()
-        broadcasts: list[tuple[str, frozenset[str]]] = []
+        reports_sent: list[tuple[str, frozenset[str]]] = []
 
         async def send(
             entry: str,
             digest: str,
             names: frozenset[str],
-            broadcasts: list[Any] = broadcasts,
+            reports_sent: list[Any] = reports_sent,
         ) -> bool:
-            broadcasts.append((digest, names))
+            reports_sent.append((digest, names))
             return True
 
         records = CrashRecordStore(
             ledger, store.client(), _no_changes, lambda _digest: True
         )
         reports = CrashReports(ledger, lambda: {"other"}, send)
-        nodes.append(_Node(ledger, records, broadcasts))
+        nodes.append(_Node(ledger, records, reports_sent))
         tasks += [
             asyncio.create_task(records.mirror.run()),
             asyncio.create_task(records.run()),
@@ -200,9 +200,9 @@
         async with served_store() as store, _nodes(store, 2) as nodes:
             store.standin.faults.down = True
             nodes[0].ledger.record_crash("d", "i-1", "r")
-            await eventually(lambda: bool(nodes[0].broadcasts))
+            await eventually(lambda: bool(nodes[0].reports_sent))
             await asyncio.sleep(1.5)
-            assert nodes[0].broadcasts == [("d", frozenset({"i-1"}))]
+            assert nodes[0].reports_sent == [("d", frozenset({"i-1"}))]
             store.standin.faults.down = False
             await eventually(lambda: nodes[1].instances() == {"i-1"})
 
@@ -217,13 +217,13 @@
             node = nodes[0]
             store.standin.faults.down = True
             node.ledger.record_crash("d", "i-1", "r")
-            await eventually(lambda: bool(node.broadcasts))
+            await eventually(lambda: bool(node.reports_sent))
             for name in ("i-2", "i-3"):
                 node.ledger.record_crash("d", name, "r")
             # One turn of the event loop, in which no write can end.
             await asyncio.sleep(0)
             await asyncio.sleep(0)
-            assert node.broadcasts[-1] == ("d", frozenset({"i-1", "i-2", "i-3"}))
+            assert node.reports_sent[-1] == ("d", frozenset({"i-1", "i-2", "i-3"}))
 
     run(work)
 
