--- a/review/standins.py
+++ b/review/standins.py
@@ -34,6 +34,8 @@
 HOST = "case.example"
 #: Time of one answer of the store, in seconds, as on the sheets.
 _STORE_ANSWER_S = 0.004
+#: Largest object of the store, in bytes: the setting `platform.max-value-bytes`.
+_MAX_VALUE_BYTES = 1_048_576
 
 
 class Record:
@@ -253,6 +255,8 @@
         metadata = value.get("metadata", {})
         name = names[0] if names else metadata["name"]
         found = self._objects.get((kind, name))
+        if len(request.body) > _MAX_VALUE_BYTES:
+            return 413, {}
         if request.method == "POST":
             if found is not None:
                 return 409, found
