--- a/review/standins.py
+++ b/review/standins.py
@@ -677,12 +677,17 @@
     record = Record(Path(folder) / "record.txt")
 
     async def bounded() -> int:
+        # A signal ends the case in order, with all processes that it has started.
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(110.0):
             return await case(record)
 
     try:
         result = asyncio.run(bounded())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.add("could-not-run", error=repr(error))
         result = 2
     record.add("exit", status=result)
