--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -134,6 +134,10 @@
                 method, target, _ = first.split(" ", 2)
                 call = Call(method, target, headers, await read_body(reader, headers))
                 work = asyncio.ensure_future(self._handle(call, writer))
+                # An exception says that the client has left.
+                work.add_done_callback(
+                    lambda task: task.cancelled() or task.exception()
+                )
                 # Bytes are read only after the answer; a close is seen meanwhile.
                 closed = asyncio.ensure_future(_closed(reader))
                 await asyncio.wait((work, closed), return_when="FIRST_COMPLETED")
@@ -304,6 +308,78 @@
         return True
 
 
+class ModelServer(PlainServer):
+    """A model engine, which streams a few events for each request."""
+
+    def __init__(
+        self, name: str, service: str, record: Record, model: str, events: int = 6
+    ) -> None:
+        super().__init__(name, service, record)
+        self.model = model
+        self.events = events
+        self.event_s = 0.02
+        self.version = 1
+        # Orders that were accepted.
+        self.orders: list[dict[str, Any]] = []
+
+    def _models(self) -> list[dict[str, Any]]:
+        return [{"name": self.model, "version": self.version, "adapters": []}]
+
+    def listing(self, **more: Any) -> dict[str, Any]:
+        """Return the entry of the engine in the store."""
+        return super().listing(phase="dual", models=self._models(), **more)
+
+    async def _answer(self, call: Call, writer: asyncio.StreamWriter) -> bool:
+        if call.path in ("/v1/report", "/v1/order"):
+            status, body = self._control(call)
+            writer.write(answer_bytes(status, {}, json.dumps(body).encode()))
+            await writer.drain()
+            return True
+        attempt = call.headers.get(ATTEMPT.lower(), "")
+        fields = {ATTEMPT: attempt}
+        expected = call.headers.get("pistachioglade-expected-instance", self.name)
+        if expected != self.name:
+            fields["Pistachioglade-Not-Executed"] = "1"
+            writer.write(answer_bytes(421, fields, b""))
+            await writer.drain()
+            return True
+        self.runs.append(attempt)
+        fields["Pistachioglade-Response-Signature"] = f"{self.name}.{attempt}"
+        fields["Pistachioglade-Weight-Versions"] = str(self.version)
+        fields["Transfer-Encoding"] = "chunked"
+        lines = ["HTTP/1.1 200 OK", *(f"{k}: {v}" for k, v in fields.items()), "", ""]
+        writer.write("\r\n".join(lines).encode())
+        first = int(call.headers.get("last-event-id", "-1")) + 1
+        for number in range(first, self.events):
+            await asyncio.sleep(self.event_s)
+            event = f"id: {number}\ndata: {attempt}-{number}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    def _control(self, call: Call) -> tuple[int, Any]:
+        if call.path == "/v1/order":
+            order = json.loads(call.body)
+            if order.get("expect", len(self.orders)) != len(self.orders):
+                return 409, {}
+            self.orders.append(order)
+            self.version = order["version"]
+            return 202, {}
+        return 200, {
+            "phase": "dual",
+            "models": self._models(),
+            "busy": False,
+            "sequence": len(self.orders),
+            "queued-count": 0,
+            "running-count": 0,
+            "kv-cache-used": 0,
+            "kv-cache-total": 90000,
+            "capabilities": 0,
+        }
+
+
 def route(name: str, prefix: str, kind: str, service: str, **more: Any) -> Any:
     """Return a route of a configuration."""
     return {
@@ -401,6 +477,17 @@
         """Return what the process has written."""
         return (self._folder / f"{self.name}.log").read_text(errors="replace")
 
+    def resident_bytes(self) -> int:
+        """Return the memory that the process uses; 0 if it has ended."""
+        if self.process is None or self.process.returncode is not None:
+            return 0
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return 0
+        lines = [line for line in status.splitlines() if line.startswith("VmRSS")]
+        return int(lines[0].split()[1]) * 1024 if lines else 0
+
 
 async def ask(
     port: int,
