--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -26,6 +26,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "case.example"
 ATTEMPT = "Pistachioglade-Attempt-Id"
+#: `max-value-bytes` of the store.
+MAX_VALUE_BYTES = 1048576
 
 Headers = dict[str, str]
 Handler = Callable[["Call", asyncio.StreamWriter], Awaitable[bool]]
@@ -182,6 +184,8 @@
 
     async def _handle(self, call: Call) -> tuple[int, Any]:
         kind, *rest = (unquote(part) for part in call.path.split("/")[3:])
+        if len(call.body) > MAX_VALUE_BYTES:
+            return 413, {}
         body = json.loads(call.body) if call.body else {}
         if call.method == "POST":
             return self._create(kind, body["metadata"]["name"], body)
