Store: log and count watches that end without an answer

A watch that the store never answers left no trace until its hold and its timeout were over, so that a copy which waits for such a watch looked like a copy without changes. watch-unanswered names kind, hold and wait; pistachioglade_store_watches counts all watches by kind and outcome.

--- a/pistachioglade/metrics/_metrics.py
+++ b/pistachioglade/metrics/_metrics.py
@@ -103,7 +103,12 @@
             buckets=_STORE_BOUNDS_S,
             registry=self._registry,
         )
-
+        self._watches = Counter(
+            "pistachioglade_store_watches",
+            "Watches of the store by kind and by whether they were answered.",
+            ("kind", "outcome"),
+            registry=self._registry,
+        )
         self._pace_changes = Counter(
             "pistachioglade_pace_changes",
             "Changes of the state of an instance's pace, by the new state.",
@@ -253,6 +258,10 @@
         self._store_calls.labels(method, outcome).inc()
         self._store_s.observe(took_s)
 
+    def record_watch(self, kind: str, outcome: str) -> None:
+        """Count a watch of the store by how it ended."""
+        self._watches.labels(kind, outcome).inc()
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/pistachioglade/store/_client.py
+++ b/pistachioglade/store/_client.py
@@ -72,13 +72,34 @@
     ) -> EntryChanges | Refusal:
         """Wait up to ``hold_s`` for changes after ``revision``."""
         call = watch_call(kind, revision, hold_s, may_be_stale)
-        answer = await self.call(call, hold_s + CALL_TIMEOUT_S)
+        begun_s = asyncio.get_running_loop().time()
+        outcome = "given-up"
+        try:
+            answer = await self.call(call, hold_s + CALL_TIMEOUT_S)
+            outcome = "lost" if isinstance(answer, Refusal) else "answered"
+        finally:
+            waited_s = asyncio.get_running_loop().time() - begun_s
+            self._record_watch(kind, outcome, hold_s, waited_s)
         if isinstance(answer, Refusal):
             return answer
         found = decode_changes(answer.body)
         self._log_faults(kind, found)
         return found
 
+    def _record_watch(
+        self, kind: str, outcome: str, hold_s: float, waited_s: float
+    ) -> None:
+        """Count a watch; log a watch without an answer and how long it was awaited."""
+        self._metrics.record_watch(kind, outcome)
+        if outcome != "answered":
+            self._log.info(
+                "watch-unanswered",
+                kind=kind,
+                outcome=outcome,
+                hold_s=round(hold_s, 3),
+                waited_s=round(waited_s, 3),
+            )
+
     def _log_faults(self, kind: str, read: EntryPage | EntryChanges | Refusal) -> None:
         """Count and log an unreadable answer, or objects without a name."""
         if isinstance(read, Refusal):
