Store: replace a watch whose answer is overdue before its copy is too old

Callers saw 404 on routes that had been added and answers of services that routes had left, for up to 11 s, at all entries: each copy of the configuration waited for a watch that the store had read while it was silent for 0.3 s.

Cause: a lost watch was noticed only by the end of its hold and its timeout (10 s and 1 s), by a lost call or by a lost probe. Probes are a second apart.

A copy now has a bound: the time within which a configuration applies, for which a leaving instance serves, or within which an end takes effect. The store ends a watch without changes at half of the bound. A watch whose answer is overdue a quarter later is replaced; the next one gets the time of any call, as the store may be slow. If that one is answered at once, all other watches are renewed. A relay answers followers only while its own copy is confirmed.

--- a/pistachioglade/decisions/__init__.py
+++ b/pistachioglade/decisions/__init__.py
@@ -179,6 +179,7 @@
     relay_for,
     relays_of,
 )
+from ._watch_times import is_copy_current, watch_answer_time_s, watch_hold_s
 from ._weight_turns import MAX_LAG_VERSIONS, engine_rank, recently_listed, should_load
 
 __all__ = [
@@ -309,6 +310,7 @@
     "has_retention_expired",
     "history_retention_s",
     "instances_with_room",
+    "is_copy_current",
     "is_fresh",
     "is_lost",
     "is_quarantined",
@@ -364,6 +366,8 @@
     "transfer_time_s",
     "try_time_s",
     "usable_priority",
+    "watch_answer_time_s",
+    "watch_hold_s",
     "wave_delay_s",
     "will_be_fresh",
 ]
--- a/pistachioglade/platform/_settings.py
+++ b/pistachioglade/platform/_settings.py
@@ -19,6 +19,9 @@
 _SCALING_DUTY: Final = "autoscaling"
 #: Lease duration if the settings name none, in seconds.
 _DEFAULT_LEASE_S: Final = 3.0
+#: Time within which the end of a job takes effect if the settings name none, in
+#: seconds.
+_DEFAULT_CANCEL_S: Final = 3.0
 
 
 @attrs.frozen
@@ -88,6 +91,8 @@
     memory_mb: int | None
     # Least time between orders of two lease holders to one engine, in seconds.
     lease_s: float = _DEFAULT_LEASE_S
+    # Time within which the end of a job has to take effect, in seconds.
+    cancel_s: float = _DEFAULT_CANCEL_S
     # Whether engines and the platform's API refuse a fencing token that is lower than
     # an earlier one.
     checks_fences: bool = False
@@ -131,6 +136,7 @@
         drain_s=_number(fields, "bounds.drain-timeout-ms") / 1000.0,
         grace_s=_number(fields, "bounds.grace-period-s"),
         config_apply_s=_number(fields, "bounds.config-apply-ms") / 1000.0,
+        cancel_s=_cancel_s(fields),
         result_retention_s=_number(fields, "bounds.status-retention-s"),
         max_object_bytes=int(_number(fields, "platform.max-value-bytes")),
         cpu_cores=_number(fields, "limits.cpu-share") * _core_speed(fields),
@@ -175,6 +181,11 @@
     return _number(fields, name) / 1000.0 if name in fields else _DEFAULT_LEASE_S
 
 
+def _cancel_s(fields: Mapping[str, str]) -> float:
+    name = "bounds.cancel-timeout-ms"
+    return _positive(fields, name) / 1000.0 if name in fields else _DEFAULT_CANCEL_S
+
+
 def _memory_mb(fields: Mapping[str, str]) -> int | None:
     name = "limits.memory-mb"
     if name not in fields:
--- a/pistachioglade/serving/_entry_mirrors.py
+++ b/pistachioglade/serving/_entry_mirrors.py
@@ -6,6 +6,8 @@
 from types import MappingProxyType
 from typing import Final
 
+import attrs
+
 from ..decisions import RELAY_GATHER_FRACTION
 from ..errors import Refusal
 from ..forwarding import FleetView
@@ -29,6 +31,18 @@
 _JOBS_GATHER_S: Final = 1.0
 
 
+@attrs.frozen
+class MirrorBounds:
+    """Times for which an entry may use old copies, in seconds."""
+
+    # Time within which a configuration takes effect.
+    configuration_s: float
+    # Time for which a leaving instance serves.
+    instances_s: float
+    # Time within which the end of a job takes effect.
+    jobs_s: float
+
+
 class EntryMirrors:
     """Keeps the copies current, from the store or from an entry that watches it."""
 
@@ -39,18 +53,19 @@
         ledger: JobLedger,
         owner: JobOwner,
         relays: WatchRelays,
-        drain_s: Callable[[], float],
+        bounds: Callable[[], MirrorBounds],
     ) -> None:
         self._owner = owner
         self._relays = relays
-        # Returns the time for which a leaving instance serves, in seconds.
-        self._drain_s = drain_s
+        # Returns the bounds of the settings in force.
+        self._bounds = bounds
         self.configurations = Mirror(
             store,
             names.CONFIGURATION_KIND,
             view.apply_configuration,
             batch_window_s=lambda: _CONFIGURATIONS_GATHER_S,
             follow=relays.fetch_changes,
+            bound_s=lambda: bounds().configuration_s,
         )
         self.instances = Mirror(
             store,
@@ -58,6 +73,7 @@
             view.apply_instance,
             batch_window_s=self.instances_gather_s,
             follow=self._follow_while_idle,
+            bound_s=lambda: bounds().instances_s,
         )
         self.jobs = Mirror(
             store,
@@ -66,6 +82,7 @@
             batch_window_s=lambda: _JOBS_GATHER_S,
             may_be_stale=lambda: not owner.runs,
             follow=self._follow_while_idle,
+            bound_s=lambda: bounds().jobs_s if owner.runs else None,
         )
         owner.on_run_started.append(self.jobs.require_current)
 
@@ -86,7 +103,7 @@
             return _INSTANCES_GATHER_WITH_JOBS_S
         is_relay = self._relays.is_relay
         fraction = RELAY_GATHER_FRACTION if is_relay else _INSTANCES_GATHER_FRACTION
-        return fraction * self._drain_s()
+        return fraction * self._bounds().instances_s
 
     async def _follow_while_idle(
         self, kind: str, revision: int
--- a/pistachioglade/serving/_entry_program.py
+++ b/pistachioglade/serving/_entry_program.py
@@ -42,7 +42,7 @@
 from ._entry_gauges import register_gauges
 from ._entry_memory import EntryMemory
 from ._entry_messages import EntryMessages
-from ._entry_mirrors import EntryMirrors
+from ._entry_mirrors import EntryMirrors, MirrorBounds
 from ._ingress import Ingress
 from ._job_calls import JobCalls
 from ._members import ENTRY_KIND, Members
@@ -219,6 +219,7 @@
             settings.internal_port,
             self._owner.models,
             self._fallback_orders,
+            settings.config_apply_s,
             policy,
         )
         self._owner.on_run_started.append(self._versions.refresh_for_job)
@@ -234,7 +235,7 @@
             self._ledger,
             self._owner,
             self._watch_relays,
-            lambda: self._settings.drain_s,
+            self._mirror_bounds,
         )
         self._configuration_check = ConfigurationCheck(
             self._members.current,
@@ -264,6 +265,13 @@
             self._memory,
         )
 
+    def _mirror_bounds(self) -> MirrorBounds:
+        """Return the times for which this entry may use old copies."""
+        settings = self._settings
+        return MirrorBounds(
+            settings.config_apply_s, settings.drain_s, settings.cancel_s
+        )
+
     def _entry_messages(self) -> EntryMessages:
         """Return what answers the messages of other entries."""
         messages = EntryMessages()
--- a/pistachioglade/serving/_version_announcer.py
+++ b/pistachioglade/serving/_version_announcer.py
@@ -84,6 +84,7 @@
         engine_port: int,
         models_run: Callable[[], Collection[str]],
         fallback_orders: FallbackEngineOrders,
+        bound_s: float,
         policy: Policy = FULL_POLICY,
     ) -> None:
         self._is_enabled = policy.uses(Mechanism.TOLD_VERSIONS)
@@ -111,6 +112,8 @@
             self._apply_change,
             batch_window_s=self._gather_s,
             may_be_stale=lambda: not self._is_announcer(),
+            # A version has to be known as soon as a configuration.
+            bound_s=lambda: bound_s if self._is_announcer() else None,
         )
 
     def refresh_for_job(self) -> None:
--- a/pistachioglade/serving/_watch_relays.py
+++ b/pistachioglade/serving/_watch_relays.py
@@ -98,13 +98,15 @@
         self._log.info("relay-abandoned", relay=relay, kind=kind, reason=answer.reason)
         return None
 
-    @property
-    def _is_current(self) -> bool:
-        """Whether the store has answered this entry recently enough for followers.
+    def _may_pass_on(self, mirror: Mirror) -> bool:
+        """Whether the store has confirmed a copy recently enough for followers.
 
         Only answers on the entry's own route count: its watches may be stuck there
-        while other entries relay its calls.
+        while other entries relay its calls. An answer to another call doesn't show that
+        the copy's own watch isn't lost.
         """
+        if not mirror.is_current:
+            return False
         age_s = self._store.direct_answer_age_s
         return age_s is not None and age_s <= self._age_limit_s
 
@@ -114,10 +116,10 @@
         if mirror is None or not self.is_relay or self._members.is_leaving:
             return refuse(ErrorKind.NOT_OWNER, f"no relay of {message.kind:.40}")
         hold_s = min(_LONGEST_HOLD_S, message.hold_s)
-        if not self._is_current:
+        if not self._may_pass_on(mirror):
             return _lacks_store()
         entry_changes = await mirror.log.changes_after(message.revision, hold_s)
-        if not self._is_current:
+        if not self._may_pass_on(mirror):
             return _lacks_store()
         return (
             entry_changes
--- a/pistachioglade/serving/tests/test_entry_mirrors.py
+++ b/pistachioglade/serving/tests/test_entry_mirrors.py
@@ -32,7 +32,7 @@
     run_virtual,
     until,
 )
-from .._entry_mirrors import EntryMirrors
+from .._entry_mirrors import EntryMirrors, MirrorBounds
 
 _ROUTE: Final = {
     "name": "jobs",
@@ -43,6 +43,7 @@
 }
 #: The bound for an end to take effect, in seconds.
 _CANCEL_TIMEOUT_S: Final = 3.0
+_BOUNDS: Final = MirrorBounds(2.0, 2.0, _CANCEL_TIMEOUT_S)
 
 
 class _StaleStore(ScriptedStore):
@@ -68,6 +69,7 @@
     """One entry that follows the store's jobs."""
 
     store: _StaleStore
+    client: StoreClient
     ledger: JobLedger
     owner: JobOwner
     mirrors: EntryMirrors
@@ -88,11 +90,11 @@
     return None
 
 
-async def _no_relay(kind: str, revision: int) -> EntryChanges | Refusal | None:
+async def follow_nobody(kind: str, revision: int) -> EntryChanges | Refusal | None:
     return None
 
 
-def _entry(follow: Any) -> _Entry:
+def create_entry(follow: Any) -> _Entry:
     store = _StaleStore()
     client = StoreClient("store", 1)
     client._pool = ScriptedRoute(store)  # type: ignore[assignment]
@@ -108,11 +110,11 @@
         "me@h:1", "b", view, ledger, client, Forwarder(view, "a"), reader, Metrics()
     )
     relays: Any = SimpleNamespace(fetch_changes=follow, is_relay=False)
-    mirrors = EntryMirrors(client, view, ledger, owner, relays, lambda: 2.0)
-    return _Entry(store, ledger, owner, mirrors)
+    mirrors = EntryMirrors(client, view, ledger, owner, relays, lambda: _BOUNDS)
+    return _Entry(store, client, ledger, owner, mirrors)
 
 
-@pytest.mark.parametrize("follow", [_no_relay, _silent_relay])
+@pytest.mark.parametrize("follow", [follow_nobody, _silent_relay])
 @pytest.mark.parametrize(
     ("name", "value"),
     [
@@ -130,7 +132,7 @@
     """
 
     async def work() -> None:
-        entry = _entry(follow)
+        entry = create_entry(follow)
         watching = asyncio.create_task(entry.mirrors.jobs.run())
         await entry.mirrors.jobs.is_synced.wait()
         entry.owner.enable()
@@ -154,7 +156,7 @@
     """Guards against full prices for entries that no change of a job concerns."""
 
     async def work() -> None:
-        entry = _entry(_no_relay)
+        entry = create_entry(follow_nobody)
         watching = asyncio.create_task(entry.mirrors.jobs.run())
         await until(30.0)
         assert entry.store.stale_watches
--- a/pistachioglade/serving/tests/test_watch_relays.py
+++ b/pistachioglade/serving/tests/test_watch_relays.py
@@ -82,6 +82,7 @@
             self._record_change,
             batch_window_s=self._gather_s,
             follow=self._follow,
+            bound_s=lambda: DRAIN_S,
         )
         self.relays.mirrors = {kind: self.mirror}
         self.messages = EntryMessages()
--- a/pistachioglade/store/_watch.py
+++ b/pistachioglade/store/_watch.py
@@ -7,15 +7,20 @@
 from contextlib import suppress
 from typing import Final
 
-from ..decisions import Mechanism
+from ..decisions import (
+    Mechanism,
+    is_copy_current,
+    watch_answer_time_s,
+    watch_hold_s,
+)
 from ..errors import ErrorKind, Refusal, refuse
 from ..logs import logger
 from ..platform import Entry, EntryChange, EntryChanges
 from ._change_log import ChangeLog
 from ._client import StoreClient
 
-#: Time for which the store holds one watch. Each watch costs a call; keep-alive probes
-#: detect a silent connection before the hold time is over.
+#: Time for which the store holds one watch if a copy may be old. Each watch costs a
+#: call.
 WATCH_HOLD_S: Final = 10.0
 #: Shortest pause after a failed watch or list.
 _RETRY_PAUSE_S: Final = 0.2
@@ -37,6 +42,15 @@
 OnChange = Callable[[Entry, bool], None]
 
 
+#: Returns the time for which an old copy may be used, in seconds; None if no bound
+#: applies.
+Bound = Callable[[], float | None]
+
+
+def _unbounded() -> None:
+    return None
+
+
 #: Returns the changes of a kind after a revision from another node's copy, or None if
 #: the store has to be asked.
 FetchChangesFrom = Callable[[str, int], Awaitable[EntryChanges | Refusal | None]]
@@ -48,6 +62,9 @@
     Changes that follow each other within ``batch_window_s`` are fetched with one call.
     Lists are always current; while ``may_be_stale`` holds, changes may be some seconds
     stale, at a tenth of the price.
+
+    While ``bound_s`` returns a time, a watch that the store doesn't answer is replaced
+    early enough for the copy to show each change within that time.
     """
 
     def __init__(
@@ -59,7 +76,13 @@
         batch_window_s: Callable[[], float] = float,
         may_be_stale: Callable[[], bool] = bool,
         follow: FetchChangesFrom | None = None,
+        bound_s: Bound = _unbounded,
     ) -> None:
+        self._bound_s = bound_s
+        # Whether the last watch was replaced since its answer was overdue.
+        self._was_overdue = False
+        # Whether the store has been slow, so that an answer gets the time of any call.
+        self._is_slow = False
         # Asks another node for changes; None if there is no such node.
         self._ask_relay = follow
         self._is_relayed = False
@@ -192,7 +215,7 @@
         """Watch once; return None if the watch has to be resent.
 
         The watch has to be resent if the store recovered meanwhile, if there is another
-        route to the store, or if changes are wanted at once.
+        route to the store, if changes are wanted at once, or if the answer is overdue.
         """
         self._is_urgent.clear()
         is_cheap = self._store.policy.uses(Mechanism.CHEAP_WATCHES)
@@ -210,8 +233,11 @@
             for waiter in (renewal, hurry, watch):
                 waiter.cancel()
 
-    async def _fetch_changes(self, may_be_stale: bool) -> EntryChanges | Refusal:
-        """Return changes, from another node's copy if there is one."""
+    async def _fetch_changes(self, may_be_stale: bool) -> EntryChanges | Refusal | None:
+        """Return changes, from another node's copy if there is one.
+
+        Return None if the store's answer is overdue.
+        """
         self._is_delayed = may_be_stale or self._ask_relay is not None
         if self._ask_relay is not None:
             answer = await self._ask_relay(self._kind, self._revision)
@@ -219,9 +245,48 @@
             if answer is not None:
                 return answer
         self._is_delayed = may_be_stale
-        return await self._store.changes(
-            self._kind, self._revision, self._hold_s, may_be_stale
-        )
+        bound_s = self._bound_s()
+        if bound_s is None:
+            return await self._store.changes(
+                self._kind, self._revision, self._hold_s, may_be_stale
+            )
+        return await self._watch_within(bound_s, may_be_stale)
+
+    async def _watch_within(
+        self, bound_s: float, may_be_stale: bool
+    ) -> EntryChanges | Refusal | None:
+        """Watch the store; return None if the answer is overdue.
+
+        An overdue watch says nothing of the route, so it doesn't count as a lost call.
+        The next watch gets the time of any call, since the store may be slow.
+        """
+        loop = asyncio.get_running_loop()
+        hold_s = min(self._hold_s, watch_hold_s(bound_s, self.age_s))
+        due_s = loop.time() + hold_s + watch_answer_time_s(bound_s)
+        limit_s = None if self._is_slow or self._was_overdue else due_s
+        try:
+            async with asyncio.timeout_at(limit_s):
+                answer = await self._store.changes(
+                    self._kind, self._revision, hold_s, may_be_stale
+                )
+        except TimeoutError:
+            self._was_overdue = True
+            return None
+        was_overdue, self._was_overdue = self._was_overdue, False
+        if not isinstance(answer, Refusal):
+            self._is_slow = loop.time() > due_s
+            if was_overdue and not self._is_slow:
+                self._log.info(
+                    "watch-lost", kind=self._kind, age_s=round(self.age_s, 3)
+                )
+                self._store.renew_watches()
+        return answer
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the store has confirmed the copy recently enough for other nodes."""
+        bound_s = self._bound_s()
+        return bound_s is None or is_copy_current(bound_s, self.age_s)
 
     @property
     def age_s(self) -> float:
--- a/pistachioglade/store/tests/scripted.py
+++ b/pistachioglade/store/tests/scripted.py
@@ -152,6 +152,8 @@
     WORKING = "whole"
     # Nothing arrives and nothing comes back.
     SILENT = "silent"
+    # Calls arrive and are never answered; their connections stay open.
+    UNANSWERED = "unanswered"
     # Each call is answered with 503, and the connections of held calls are lost.
     REFUSED = "refused"
     # Two of three calls are answered with 429.
@@ -169,6 +171,16 @@
         self._condition = Condition.WORKING
         self._condition_changed = asyncio.Event()
         self._count = 0
+        # Number of the watches that were made.
+        self.watches = 0
+        # Whether the next watch is never answered.
+        self._loses_next_watch = False
+        # Additional time until an answer arrives, in seconds.
+        self.answer_s = 0.0
+
+    def lose_next_watch(self) -> None:
+        """Let the store read the next watch and never answer it."""
+        self._loses_next_watch = True
 
     def set_condition(self, condition: Condition) -> None:
         """Change how the route behaves, also for calls in flight."""
@@ -188,6 +200,13 @@
             if self._condition is Condition.THROTTLED and self._count % 3:
                 await asyncio.sleep(_ANSWER_S)
                 return Response(429)
+            is_watch = "watch=" in target
+            self.watches += is_watch
+            is_lost = is_watch and self._loses_next_watch
+            self._loses_next_watch &= not is_lost
+            await asyncio.sleep(self.answer_s)
+            if is_lost or self._condition is Condition.UNANSWERED:
+                await asyncio.Event().wait()
             if self._condition is not Condition.SILENT:
                 answer = await self._answer(method, target)
                 if answer is not None:
