Quarantine: hold an item's reward call back for a bounded time only

After a burst of crashes a sound item was not scored for 30 s, then for 120 s and 600 s, then for an hour: three instances had ended while they ran its reward call, or equal calls of other items. Its run was put off for 4 s at most all the while.

Cause: reward calls pass the same quarantine as callers' requests, by a digest that leaves out the id. Ruled out by a test of the parts: pauses of the sample (4 s at most), cooldowns of instances (3 s), the gate and the retry budget, after which the call is repeated within 0.4 s.

A call of an item is now held back until 4.5 s after the last crash that is known, and runs one at a time at an entry from the second crash on. It needs no trial run, so that neither a used-up record nor a store that is away holds it. Callers' requests are decided as before, and crashes of reward calls still count for an equal request of a caller.

With real processes, test_a_sound_item_is_scored_after_a_burst_of_crashes: no score within 30 s before, scored after.

tests/crashing.py: test_crashes_of_reward_calls_are_known_to_the_next_owner ended the crashes of the instances that it had, and those that were added later went on crashing. The call comes 4.5 s after the third crash now, at the moment of that change, and met one crashing replacement after the other. stop_crashing covers later instances, too; the test's assertions are unchanged.

--- a/pistachioglade/decisions/_crash_quarantine.py
+++ b/pistachioglade/decisions/_crash_quarantine.py
@@ -43,6 +43,9 @@
 #: Longest wait, before a failed request is answered, for the other entries to know of
 #: its crashes. As long as the timeout of a call to an entry, which may be busy.
 MAX_SHARE_WAIT_S: Final = 0.5
+#: Time after an instance's end for which a call of a job's item is held back. Below
+#: five seconds, the limit for which a sample of an open job may be at no engine.
+_OWED_PAUSE_S: Final = 4.5
 #: First pause of a sample that has crashed engines.
 _SAMPLE_PAUSE_S: Final = 1.0
 #: Maximum number of doublings of that pause. Keeps the longest pause below five
@@ -124,6 +127,23 @@
     )
 
 
+def decide_owed_admission(
+    history: CrashHistory, open_instances: int
+) -> AdmissionDecision:
+    """Return the admission decision for a call that belongs to an item of a job.
+
+    Items are owed whatever has ended while it ran them: instances also end for other
+    reasons, and many items may have equal calls. Such a call is held back only for a
+    bounded time after the last crash, whatever the number of crashes and trials.
+    """
+    if history.crashes < SUSPECT_CRASHES:
+        return _SEND
+    is_delayed = is_quarantined(history.crashes) or open_instances < 2
+    if is_delayed and history.unchanged_s < _OWED_PAUSE_S:
+        return _refuse(history, _OWED_PAUSE_S - history.unchanged_s)
+    return _refuse(history, _RUN_WAIT_S) if history.is_running else _SEND
+
+
 def _refuse(history: CrashHistory, wait_s: float) -> AdmissionDecision:
     reason = f"{history.crashes} instances ended while they ran this request"
     return AdmissionDecision(
--- a/pistachioglade/decisions/tests/test_crash_quarantine.py
+++ b/pistachioglade/decisions/tests/test_crash_quarantine.py
@@ -8,6 +8,7 @@
     Admission,
     CrashHistory,
     decide_admission,
+    decide_owed_admission,
     history_retention_s,
     sample_pause_s,
 )
@@ -45,6 +46,32 @@
     assert bool(verdict.reason) == (expected is _REFUSE)
 
 
+_OWED_CASES = {
+    # name: (crashes, trials, unchanged_s, is_running, open instances, admission)
+    "never crashed": (0, 0, 0.0, True, 1, _SEND),
+    "one crash, at the last instance": (1, 0, 0.0, True, 1, _SEND),
+    "two crashes, a spare instance": (2, 0, 0.0, False, 2, _SEND),
+    "two crashes, the last instance": (2, 0, 4.4, False, 1, _REFUSE),
+    "two crashes, an upstream of one": (2, 0, 4.6, False, 1, _SEND),
+    "two crashes, running here": (2, 0, 99.0, True, 2, _REFUSE),
+    "three crashes": (3, 0, 4.4, False, 9, _REFUSE),
+    "three crashes, later": (3, 0, 4.6, False, 9, _SEND),
+    "three crashes, later, the last instance": (3, 0, 4.6, False, 1, _SEND),
+    "many crashes, no trial left": (50, 3, 4.6, False, 9, _SEND),
+    "many crashes, running here": (50, 3, 4.6, True, 9, _REFUSE),
+}
+
+
+@pytest.mark.parametrize("name", _OWED_CASES)
+def test_admission_of_an_items_call(name: str) -> None:
+    case = _OWED_CASES[name]
+    crashes, trials, unchanged_s, is_running, open_instances, expected = case
+    history = CrashHistory(crashes, trials, unchanged_s, is_running)
+    verdict = decide_owed_admission(history, open_instances)
+    assert verdict.admission is expected
+    assert (verdict.wait_s > 0.0) == (expected is _REFUSE)
+
+
 def test_a_refusal_carries_the_time_until_the_trial() -> None:
     verdict = decide_admission(CrashHistory(3, 0, 12.5, False), 9)
     assert verdict.wait_s == 17.5
--- a/pistachioglade/forwarding/_call.py
+++ b/pistachioglade/forwarding/_call.py
@@ -28,6 +28,8 @@
     account: str = ""
     # Priority of that account; None to use the route's.
     account_priority: int | None = None
+    # Whether the request belongs to an item of a job, which is owed its answer.
+    is_owed: bool = False
 
     @property
     def priority(self) -> int:
--- a/pistachioglade/forwarding/_forward.py
+++ b/pistachioglade/forwarding/_forward.py
@@ -96,7 +96,9 @@
     async def forward_counted(self, call: ForwardedCall) -> ForwardedAnswer:
         """Forward a request; return its result and the number of failed answers."""
         upstream = choose_upstream(call.route, call.request_id)
-        guard = RequestGuard(self._crashes, call.request, call.request_id, call.account)
+        guard = RequestGuard(
+            self._crashes, call.request, call.request_id, call.account, call.is_owed
+        )
         with closing(RequestMeter(self._usage, call.account)) as meter:
             return await self._try_instances(call, upstream, guard, meter)
 
--- a/pistachioglade/jobs/_sample_scheduler.py
+++ b/pistachioglade/jobs/_sample_scheduler.py
@@ -299,5 +299,7 @@
             asyncio.get_running_loop().time(),
         )
         call = self._forwarder.create_call(request, reward.id, route)
-        limited_call = attrs.evolve(call, max_failures=route.max_attempts - failures)
+        limited_call = attrs.evolve(
+            call, max_failures=route.max_attempts - failures, is_owed=True
+        )
         return await self._forwarder.forward_counted(limited_call), route.max_attempts
--- a/pistachioglade/quarantine/_guard.py
+++ b/pistachioglade/quarantine/_guard.py
@@ -28,7 +28,10 @@
         request: Request,
         request_id: str,
         account: str = "",
+        is_owed: bool = False,
     ) -> None:
+        # Whether the request belongs to an item of a job.
+        self._is_owed = is_owed
         self._account = account
         self._ledger = ledger
         self._request = request
@@ -53,7 +56,7 @@
         if not self._ledger.count:
             return None
         names = frozenset(map(_incarnation, healthy()))
-        if self._ledger.take_unused_trial(self.digest):
+        if not self._is_owed and self._ledger.take_unused_trial(self.digest):
             self._is_trial = True
             return None
         verdict = self._decide(names)
@@ -72,7 +75,9 @@
         is_running = self._has_record() and self._ledger.runs.is_running(
             self._outline, self.digest
         )
-        return self._ledger.decide_admission(self.digest, open_instances, is_running)
+        return self._ledger.decide_admission(
+            self.digest, open_instances, is_running, self._is_owed
+        )
 
     def _has_record(self) -> bool:
         # No digest is computed while no request has a record.
--- a/pistachioglade/quarantine/_ledger.py
+++ b/pistachioglade/quarantine/_ledger.py
@@ -12,6 +12,7 @@
     AdmissionDecision,
     CrashHistory,
     decide_admission,
+    decide_owed_admission,
     history_retention_s,
     is_quarantined,
 )
@@ -153,12 +154,17 @@
         return [name for name, record in self._records.items() if record.is_unwritten]
 
     def decide_admission(
-        self, digest: str, open_instances: Collection[str], is_running: bool = False
+        self,
+        digest: str,
+        open_instances: Collection[str],
+        is_running: bool = False,
+        is_owed: bool = False,
     ) -> AdmissionDecision:
         """Return the admission decision for a request.
 
         ``open_instances`` are the instances of the upstream that can run the request,
-        ``is_running`` tells whether this node has a run of the request in progress.
+        ``is_running`` tells whether this node has a run of the request in progress,
+        ``is_owed`` whether the request belongs to an item of a job.
         """
         record = self._records.get(digest) or CrashRecord(self._now_s())
         # The list can still contain instances that have just ended.
@@ -169,7 +175,8 @@
             self._now_s() - record.changed_s,
             is_running,
         )
-        return decide_admission(history, remaining)
+        decide = decide_owed_admission if is_owed else decide_admission
+        return decide(history, remaining)
 
     async def _claim_locally(self, digest: str) -> bool:
         """Claim a trial run when records aren't shared through the store."""
--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -40,15 +40,23 @@
         self._replacement_delay_s = replacement_delay_s
         self._starts = count(1)
         self._tasks: set[asyncio.Task[None]] = set()
+        # Whether the instances crash on requests to the path.
+        self._is_crashing = True
         # Times of crashes, in seconds of the monotonic clock.
         self.crashes_s: list[float] = []
         for instance in instances_of(fleet, upstream):
             self._prepare(instance)
 
     def _prepare(self, instance: FleetInstance) -> None:
-        instance.crash_paths = {self._path}
+        instance.crash_paths = {self._path} if self._is_crashing else set()
         instance.on_crash = lambda: self._handle_crash(instance)
 
+    def stop_crashing(self) -> None:
+        """Let all instances run the request, also those that are added later."""
+        self._is_crashing = False
+        for instance in instances_of(self._fleet, self._upstream):
+            instance.crash_paths = set()
+
     def _handle_crash(self, instance: FleetInstance) -> None:
         self.crashes_s.append(now_s())
         task = asyncio.create_task(self._replace(instance))
--- a/tests/test_serving_crash_outages.py
+++ b/tests/test_serving_crash_outages.py
@@ -301,8 +301,7 @@
         times_s = _relative(upstream.crashes_s, start_s)
         assert len(times_s) <= _MAX_CRASHES, (crashes, times_s, taken_over_s)
         # The item has to be scored once instances no longer crash on its call.
-        for instance in fleet.instances:
-            instance.crash_paths = set()
+        upstream.stop_crashing()
         result = (await fleet.read_results(others[0], "job-1", 1))[0]
         ended_s = now_s() - start_s
         assert result["state"] == "completed", (result, ended_s, times_s)
--- a/tests/test_serving_crashes.py
+++ b/tests/test_serving_crashes.py
@@ -3,19 +3,33 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 from pathlib import Path
 from typing import Any
 
+from pistachioglade.platform import names
+from pistachioglade.standins._fleet_instance import FleetInstance
 from soak._relay import Relay, RelayMode
 
 from .crashing import CrashingUpstream, RepeatingCaller, now_s
-from .serving import JOBS, LOOKUP, REWARD, Fleet, run_case, submission
+from .serving import (
+    JOBS,
+    LOOKUP,
+    REWARD,
+    Fleet,
+    instances_of,
+    run_case,
+    submission,
+)
 
 #: Time for entries to learn of crashes after a crash, restart or partition, in seconds.
 _PROPAGATION_S = 3.0
 #: Maximum number of client attempts that may reach instances after that time.
 _MAX_RETRIES = 3
+#: Time of an event or of a plain answer, so long that crashes hit running requests, in
+#: seconds.
+_SLOW_EVENT_S = 0.25
 
 
 def _lost_tries(fleet: Fleet) -> list[dict[str, Any]]:
@@ -170,6 +184,82 @@
     run_case(tmp_path, case, entries=2)
 
 
+def test_a_sound_item_is_scored_after_a_burst_of_crashes(tmp_path: Path) -> None:
+    """Guards against items whose reward call is refused for 30 s and more.
+
+    The reward call was only in flight as three instances ended.
+    """
+
+    async def case(fleet: Fleet) -> None:
+        upstream = CrashingUpstream(fleet, path=f"{REWARD}score")
+        await upstream.add()
+        job = submission(1, 1)
+        await fleet.call(fleet.entries[0], "POST", f"{JOBS}x", "job-1", job)
+        await _wait_for_third_crash(upstream)
+        upstream.stop_crashing()
+        result = (await fleet.read_results(fleet.entries[0], "job-1", 1))[0]
+        assert result["state"] == "completed"
+
+    run_case(tmp_path, case, entries=2)
+
+
+class _RandomCrashes:
+    """Crashes a third of an upstream's instances again and again, and replaces them."""
+
+    def __init__(self, fleet: Fleet, upstream: str, models: tuple[str, ...]) -> None:
+        self._fleet = fleet
+        self._upstream = upstream
+        self._models = models
+        self._random = random.Random(57)
+        self._alive = list(instances_of(fleet, upstream))
+        for instance in self._alive:
+            instance.event_s = _SLOW_EVENT_S
+        self._count = 0
+
+    async def add(self) -> None:
+        """Start and register an additional instance."""
+        self._count += 1
+        name = f"{self._upstream}-more-{self._count}"
+        instance = FleetInstance(
+            name, self._upstream, self._models, event_s=_SLOW_EVENT_S
+        )
+        self._alive.append(await self._fleet.add_instance(instance))
+
+    async def crash_third(self) -> None:
+        """Crash a third of the instances; start others in their place later."""
+        client = self._fleet.store.client()
+        struck = self._random.sample(self._alive, max(1, len(self._alive) // 3))
+        for instance in struck:
+            self._alive.remove(instance)
+            instance.stop()
+        await asyncio.sleep(0.4)
+        for instance in struck:
+            await client.delete(names.INSTANCE_KIND, instance.id)
+            await self.add()
+
+
+def test_all_items_are_completed_after_bursts_of_crashes(tmp_path: Path) -> None:
+    """Guards against items that are owed and never placed again.
+
+    Engines and plain instances crash in bursts; afterwards all is calm.
+    """
+
+    async def case(fleet: Fleet) -> None:
+        crashes = _RandomCrashes(fleet, "lm", ("m",)), _RandomCrashes(fleet, "app", ())
+        for upstream in crashes * 4:
+            await upstream.add()
+        job = submission(6, 4)
+        await fleet.call(fleet.entries[0], "POST", f"{JOBS}x", "job-1", job)
+        for _ in range(3):
+            for _ in range(5):
+                await asyncio.gather(*(upstream.crash_third() for upstream in crashes))
+            await asyncio.sleep(0.5)
+        results = await fleet.read_results(fleet.entries[1], "job-1", 24)
+        assert {result["state"] for result in results} == {"completed"}
+
+    run_case(tmp_path, case, entries=2)
+
+
 def test_a_sample_that_crashes_engines_is_delayed(tmp_path: Path) -> None:
     async def case(fleet: Fleet) -> None:
         path = f"{JOBS}fatal"
