Streams: time the next event, not the next bytes

An engine that sent a byte now and then kept a sample, or a caller's resumable stream, for as long as the bytes came: each part of an event renewed the time for the next one. The time now ends at the next complete event. An answer that is no stream is read by the same code as any other answer.

--- a/pistachioglade/forwarding/_stream_reader.py
+++ b/pistachioglade/forwarding/_stream_reader.py
@@ -116,30 +116,28 @@
             return fault
         self._progress.on_accepted()
         if head.status != 200:
-            return await self._read_complete(head)
+            return await self._read_complete()
         return await self._forward_events(head)
 
     def _event_timeout_s(self) -> float:
         remaining_s = self._call.deadline_s - asyncio.get_running_loop().time()
         return stream_silence_s(self._policy, self._progress.is_begun, remaining_s)
 
-    async def _read_complete(self, head: ResponseHead) -> Response | Refusal:
+    async def _read_complete(self) -> Response | Refusal:
         """Read an answer whose status isn't 200, which is not a stream."""
-        parts: list[bytes] = []
         try:
             async with asyncio.timeout(self._event_timeout_s()):
-                while isinstance(part := await self._exchange.read(), bytes):
-                    parts.append(part)
+                return await self._exchange.read_response()
         except TimeoutError:
             return refuse(ErrorKind.UPSTREAM_LOST, "no whole answer in time")
-        if isinstance(part, Refusal):
-            return part
-        return Response(head.status, head.fields, b"".join(parts))
 
     async def _forward_events(self, head: ResponseHead) -> Refusal | None:
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + self._event_timeout_s()
         while True:
             try:
-                async with asyncio.timeout(self._event_timeout_s()):
+                # Bytes that complete no event don't extend the time.
+                async with asyncio.timeout_at(due_s):
                     chunk = await self._exchange.read()
             except TimeoutError:
                 return refuse(ErrorKind.UPSTREAM_LOST, "no event in time")
@@ -156,6 +154,8 @@
                 if fault is not None:
                     return fault
             self._exclude_slow_caller()
+            if events:
+                due_s = loop.time() + self._event_timeout_s()
 
     def _record_gap(self, events: int) -> None:
         """Record the time of each of the events that have just arrived."""
--- a/pistachioglade/jobs/_sample_try.py
+++ b/pistachioglade/jobs/_sample_try.py
@@ -255,9 +255,12 @@
 
     async def _read_events(self, exchange: Exchange) -> TryResult:
         decoder = EventDecoder()
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + _EVENT_TIMEOUT_S
         while True:
             try:
-                async with asyncio.timeout(_EVENT_TIMEOUT_S):
+                # Bytes that complete no event don't extend the time.
+                async with asyncio.timeout_at(due_s):
                     chunk = await exchange.read()
             except TimeoutError:
                 return TryResult(TryEnd.BROKEN, f"no event in {_EVENT_TIMEOUT_S} s")
@@ -272,6 +275,8 @@
                 failure = self._add_event(event)
                 if failure is not None:
                     return failure
+            if events:
+                due_s = loop.time() + _EVENT_TIMEOUT_S
 
     def _check_end(self, exchange: Exchange, decoder: EventDecoder) -> TryResult:
         if not exchange.is_framed or not decoder.is_between_events:
