HTTP: bound heads, answers and events that never end

One engine of four that sent bytes of no answer until the entry closed took the entry's memory (475 MB at its peak, with 300 MB allowed) or its budget, so that requests for sound engines were refused or late; one connection read over 1 GB.

Cause: nothing bounded what is read before an answer is judged. The parser keeps an unfinished field, interim answers and empty lines cost time only, trailers were kept, the body of an answer grew until its deadline, near the memory budget the oldest answer was read on without limit, and an unfinished event was copied and searched anew with each part.

Bounds: 16 KiB of bytes that belong to no body in a row (heads with interim answers, chunk heads, trailers), counted between pieces of 16 KiB; 2 MiB for an answer that is read as a whole, also by its declared length; 64 MiB for the store's, whose watches have no documented limit; 256 KiB for an event. Beyond a bound the connection is closed (oversized), the request may have run, and the engine counts as failing. Chunks of a byte are passed on together. Callers' heads are counted in the same way against max-header-bytes, which saw complete fields only.

--- a/pistachioglade/forwarding/_events.py
+++ b/pistachioglade/forwarding/_events.py
@@ -11,6 +11,10 @@
 
 #: Empty line after an event.
 _SEPARATOR: Final = re.compile(rb"\r?\n\r?\n")
+#: Bytes at the end of an incomplete event that may begin the empty line after it.
+_SEPARATOR_BYTES: Final = 3
+#: Longest event, in bytes. An event holds the text of some dozens of tokens.
+MAX_EVENT_BYTES: Final = 256 * 1024
 
 
 @attrs.frozen
@@ -31,23 +35,27 @@
     """Splits the bytes of a stream into complete events."""
 
     def __init__(self) -> None:
-        self._incomplete = b""
+        self._incomplete = bytearray()
 
     def feed(self, chunk: bytes) -> list[StreamEvent] | None:
-        """Return the events that a chunk completes; None if the bytes are malformed."""
-        data = self._incomplete + chunk
+        """Return the events that a chunk completes; None if the bytes are malformed.
+
+        Bytes are searched once, however small the chunks are.
+        """
+        data = self._incomplete
+        searched = max(0, len(data) - _SEPARATOR_BYTES)
+        data += chunk
         events: list[StreamEvent] = []
         start = 0
-        for separator in _SEPARATOR.finditer(data):
-            event = _parse(
-                data[start : separator.start()], data[start : separator.end()]
-            )
+        for separator in _SEPARATOR.finditer(data, searched):
+            raw = bytes(data[start : separator.end()])
+            event = _parse(raw[: separator.start() - start], raw)
             if event is None:
                 return None
             events.append(event)
             start = separator.end()
-        self._incomplete = data[start:]
-        return events
+        del data[:start]
+        return None if len(data) > MAX_EVENT_BYTES else events
 
     @property
     def is_between_events(self) -> bool:
--- a/pistachioglade/forwarding/tests/test_events.py
+++ b/pistachioglade/forwarding/tests/test_events.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from .. import EventDecoder, StreamEvent
+from .._events import MAX_EVENT_BYTES
 
 _STREAM = (
     b"id: 0\ndata: one\n\n"
@@ -55,3 +56,23 @@
 def test_crlf_line_endings_are_accepted() -> None:
     events = EventDecoder().feed(b"id: 4\r\ndata: x\r\n\r\n")
     assert events == [StreamEvent(4, "x", None)]
+
+
+def test_events_in_chunks_of_a_byte_are_complete() -> None:
+    data = b"id: 4\r\ndata: x\r\n\r\nid: 5\ndata: y\n\n"
+    decoder = EventDecoder()
+    parts = [decoder.feed(bytes([byte])) for byte in data]
+    events = [event for part in parts if part is not None for event in part]
+    assert [(event.number, event.data) for event in events] == [(4, "x"), (5, "y")]
+    assert b"".join(event.raw for event in events) == data
+    assert decoder.is_between_events
+
+
+def test_an_event_without_end_is_malformed() -> None:
+    """Guards against an event that grows until the memory of an entry is used up."""
+    decoder = EventDecoder()
+    block = b"x" * 1000
+    fed = 0
+    while decoder.feed(block) is not None:
+        fed += len(block)
+        assert fed <= MAX_EVENT_BYTES
--- a/pistachioglade/http1/_client.py
+++ b/pistachioglade/http1/_client.py
@@ -11,12 +11,16 @@
 
 from ..errors import ErrorKind, Refusal, refuse
 from ._exchange import CloseReason, Exchange
+from ._framing import FramingMeter
 from ._memory import Memory
 from ._messages import Fields, ResponseHead, head_bytes
 
 #: Bytes of a request's body that are written at once. The transport copies what it
 #: can't send, so a body of 32 MB written as a whole would be held three times.
 _PIECE_BYTES: Final = 256 * 1024
+#: Longest head of an answer with the interim answers before it, extension of a chunk,
+#: or trailers, in bytes. A head has a status line and about a dozen short fields.
+MAX_FRAMING_BYTES: Final = 16 * 1024
 #: Keep-alive timeout of a server that announces 0, in seconds: half of the shortest
 #: time that it could have announced.
 _SUBSECOND_KEEP_ALIVE_S: Final = 0.5
@@ -39,6 +43,9 @@
         self._unwritten = memoryview(b"")
         self._may_write = True
         self._fields: list[tuple[str, str]] = []
+        self._framing = FramingMeter()
+        # Parts of the body in the bytes that are being parsed.
+        self._body_parts: list[bytes] = []
         self._ends_with_connection = False
         self._may_reuse = True
         # Whether the connection is closed.
@@ -89,6 +96,7 @@
         assert self._transport is not None
         self._exchange = self._last_exchange = exchange
         self._fields = []
+        self._framing.reset()
         framed = (*fields, ("Content-Length", str(len(body))))
         head = head_bytes(f"{method} {target} HTTP/1.1", framed)
         if len(body) <= _PIECE_BYTES:
@@ -144,8 +152,15 @@
             self.close(CloseReason.LOST_IDLE)
             return
         try:
-            self._parser.feed_data(data)
+            for _ in self._framing.feed(data, self._parser.feed_data):
+                self._pass_on_body()
+                if not self._framing.is_within(MAX_FRAMING_BYTES):
+                    self._fail(f"over {MAX_FRAMING_BYTES} bytes that are no answer")
+                    self.close(CloseReason.OVERSIZED)
+                if self.is_closed:
+                    return
         except httptools.HttpParserError as error:
+            self._pass_on_body()
             self._fail(f"not HTTP: {error}")
             self.close()
 
@@ -201,12 +216,19 @@
         self._exchange.on_head(ResponseHead(status, tuple(self._fields)), is_framed)
 
     def on_body(self, body: bytes) -> None:
-        """Pass a part of the body to the exchange."""
-        if self._exchange is not None:
-            self._exchange.on_chunk(body)
+        """Collect a part of the body; a body may come in chunks of a byte."""
+        self._framing.reset()
+        self._body_parts.append(body)
+
+    def _pass_on_body(self) -> None:
+        """Pass the parts of the body that have been parsed to the exchange."""
+        parts, self._body_parts = self._body_parts, []
+        if parts and self._exchange is not None:
+            self._exchange.on_chunk(b"".join(parts))
 
     def on_message_complete(self) -> None:
         """Complete the exchange, unless the answer is an interim one."""
+        self._pass_on_body()
         if self._parser.get_status_code() >= 200:
             self._complete()
 
--- a/pistachioglade/http1/_exchange.py
+++ b/pistachioglade/http1/_exchange.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ..decisions import MemoryUse
-from ..errors import Refusal
+from ..errors import ErrorKind, Refusal, refuse
 from ._memory import Memory
 from ._messages import Response, ResponseHead
 
@@ -23,6 +23,12 @@
 _MAX_DISCARDED_BYTES: Final = 64 * 1024
 
 
+#: Largest body of an answer that is read as a whole, in bytes: twice the largest
+#: message that the platform documents, such as a page of a list. Twenty such bodies at
+#: once stay within the memory budget of a machine of 160 MB.
+MAX_ANSWER_BYTES: Final = 2 * 1024 * 1024
+
+
 class CloseReason(Enum):
     """Why a connection to a server was closed."""
 
@@ -36,6 +42,8 @@
     ABORTED = "aborted"
     # It was idle for nearly as long as the server keeps it.
     EXPIRED = "expired"
+    # An answer exceeded a limit.
+    OVERSIZED = "oversized"
     # Other clients need the server's connections.
     OVER_LIMIT = "over-limit"
     # The server isn't used any more.
@@ -162,14 +170,20 @@
         self.update_reading()
         return chunk
 
-    async def read_response(self) -> Response | Refusal:
+    async def read_response(
+        self, max_body_bytes: int = MAX_ANSWER_BYTES
+    ) -> Response | Refusal:
         """Read the answer to its end and return it.
 
-        Its parts count as held until the connection is released.
+        Its parts count as held until the connection is released. An answer whose body
+        exceeds the limit closes the connection; its request may have run.
         """
         head = await self.head()
         if isinstance(head, Refusal):
             return head
+        declared = head.field("content-length") or ""
+        if declared.isdecimal() and int(declared) > max_body_bytes:
+            return self._refuse_oversized(max_body_bytes)
         # Unlike a list of parts, whose concatenation holds the body twice.
         body = BytesIO()
         while True:
@@ -179,6 +193,13 @@
             if chunk is None:
                 return Response(head.status, head.fields, body.getvalue())
             body.write(chunk)
+            if body.tell() > max_body_bytes:
+                return self._refuse_oversized(max_body_bytes)
+
+    def _refuse_oversized(self, max_body_bytes: int) -> Refusal:
+        self._connection.close(CloseReason.OVERSIZED)
+        reason = f"an answer of over {max_body_bytes} bytes"
+        return refuse(ErrorKind.UPSTREAM_LOST, reason)
 
     def abort(self) -> None:
         """Abandon the exchange; close its connection unless that can be reused.
--- a/pistachioglade/http1/_pool.py
+++ b/pistachioglade/http1/_pool.py
@@ -11,7 +11,7 @@
 from ..decisions import connection_wait_s
 from ..errors import Refusal
 from ._client import ClientConnection, open_connection
-from ._exchange import CloseReason, Exchange
+from ._exchange import MAX_ANSWER_BYTES, CloseReason, Exchange
 from ._memory import Memory
 from ._messages import Fields, Response
 
@@ -71,7 +71,10 @@
         memory: Memory | None = None,
         limit: Callable[[], int | None] = lambda: None,
         observer: ConnectionObserver | None = None,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
+        # Largest body of an answer to :meth:`request`, in bytes.
+        self._max_answer_bytes = max_answer_bytes
         self.host = host
         self.port = port
         self._memory = memory or Memory()
@@ -291,7 +294,7 @@
                 return connection
             try:
                 exchange: Exchange = connection.start(method, target, fields, body)
-                answer = await exchange.read_response()
+                answer = await exchange.read_response(self._max_answer_bytes)
             except BaseException:
                 connection.close()
                 raise
--- a/pistachioglade/http1/_server_connection.py
+++ b/pistachioglade/http1/_server_connection.py
@@ -12,6 +12,7 @@
 
 from ..decisions import MemoryUse
 from ._client import enable_silence_detection, set_silence_timeout
+from ._framing import FramingMeter
 from ._incoming import IncomingRequest
 from ._memory import Charge
 from ._messages import Request, Response
@@ -58,6 +59,7 @@
     def __init__(self, server: HttpServer) -> None:
         self._server = server
         self._parser = httptools.HttpRequestParser(self)
+        self._framing = FramingMeter()
         self._transport: asyncio.Transport | None = None
         self._memory = server.memory
         # Answers that the client hasn't read.
@@ -110,10 +112,18 @@
             return
         self.last_active_s = self._loop.time()
         try:
-            self._parser.feed_data(data)
+            for _ in self._framing.feed(data, self._parser.feed_data):
+                if not self._framing.is_within(self._server.limits.max_header_bytes):
+                    self._reject(431)
+                if self._drops_bytes or self._is_closing:
+                    return
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._reject(400)
 
+    @property
+    def _is_closing(self) -> bool:
+        return self._transport is None or self._transport.is_closing()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress and drop the queued ones."""
         self._server.connections.discard(self)
@@ -272,6 +282,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect the body; reject a body above its size limit."""
+        self._framing.reset()
         incoming = self.incoming
         if incoming.refusal is not None or self._drops_bytes:
             return
@@ -284,6 +295,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the request; start it if none is in progress."""
+        self._framing.reset()
         if self._transport is None or self._transport.is_closing() or self._drops_bytes:
             return
         incoming = self._take_incoming()
--- a/pistachioglade/store/_store_routes.py
+++ b/pistachioglade/store/_store_routes.py
@@ -28,10 +28,17 @@
 PROBE_INTERVAL_S: Final = 1.0
 #: The same interval while the store doesn't answer, short to detect recovery soon.
 _OUTAGE_BEAT_S: Final = 0.3
+#: Largest answer of the store in bytes. A list comes in pages of about a megabyte; a
+#: watch returns all changes since a revision, for which no limit is documented.
+_MAX_ANSWER_BYTES: Final = 64 * 1024 * 1024
 #: Largest object in bytes if the settings name none: the platform's documented limit.
 MAX_OBJECT_BYTES: Final = 1_048_576
 
 
+def _create_pool(host: str, port: int) -> Pool:
+    return Pool(host, port, max_answer_bytes=_MAX_ANSWER_BYTES)
+
+
 class StoreRoutes:
     """Makes calls to the store, directly or through a peer that still reaches it."""
 
@@ -48,7 +55,7 @@
         self._metrics = metrics or Metrics()
         # Largest object that the store accepts, in bytes.
         self.max_object_bytes = max_object_bytes
-        self._pool = Pool(host, port)
+        self._pool = _create_pool(host, port)
         self._host_field = (("Host", f"{host}:{port}"),)
         self._log = logger(__name__)
         self._failed_s: float | None = None
@@ -71,7 +78,7 @@
         if (host, port) == (self._pool.host, self._pool.port):
             return
         self._pool.close_idle()
-        self._pool = Pool(host, port)
+        self._pool = _create_pool(host, port)
         self._host_field = (("Host", f"{host}:{port}"),)
         self._log.info("store-moved", address=f"{host}:{port}")
         self.renew_watches()
