Forwarding: bytes without id and mark are no answer

Streams and samples kept the connection, so that the request's own answer came to the next one.

Cause: an answer without an id was taken for the answer to the request in progress. The log of the red test has call-tried with outcome 404 at the instance that ran the request and answered 200 after it; no other request had that outcome, which rules out mixed up requests in the entry.

Engines echo the id. An answer without one now belongs to a request only if it is signed or says that the request did not run. Any other counts as lost: the request may have run, the instance counts as failing, and the connection is closed.

--- a/pistachioglade/forwarding/_stream_reader.py
+++ b/pistachioglade/forwarding/_stream_reader.py
@@ -18,7 +18,7 @@
     ResponseHead,
     end_to_end,
 )
-from ..platform import request_fields, resume_fields
+from ..platform import belongs_to, request_fields, resume_fields
 from ..usage import RequestMeter
 from ._call import ForwardedCall
 from ._events import EventDecoder, StreamEvent
@@ -111,6 +111,9 @@
             return refuse(ErrorKind.UPSTREAM_LOST, "no head in time")
         if isinstance(head, Refusal):
             return head
+        if not belongs_to(head, self._call.request_id):
+            # The request's own answer may follow on the connection.
+            self._exchange.close()
         fault = check_head(head, self._call.request_id)
         if fault is not None:
             return fault
--- a/pistachioglade/http1/_exchange.py
+++ b/pistachioglade/http1/_exchange.py
@@ -201,6 +201,10 @@
         reason = f"an answer of over {max_body_bytes} bytes"
         return refuse(ErrorKind.UPSTREAM_LOST, reason)
 
+    def close(self) -> None:
+        """Close the connection, since its bytes can't be told apart any more."""
+        self._connection.close()
+
     def abort(self) -> None:
         """Abandon the exchange; close its connection unless that can be reused.
 
--- a/pistachioglade/jobs/_sample_try.py
+++ b/pistachioglade/jobs/_sample_try.py
@@ -208,6 +208,9 @@
         if isinstance(head, Refusal):
             return self._broken_result(head)
         self._record_load(head)
+        if not belongs_to(head, self._item.id):
+            # The sample's own answer may follow on the connection.
+            exchange.close()
         failure = self._check_head(head)
         return failure or await self._read_events(exchange)
 
--- a/pistachioglade/platform/_engine_calls.py
+++ b/pistachioglade/platform/_engine_calls.py
@@ -139,9 +139,15 @@
 
 
 def belongs_to(head: ResponseHead | Response, expected_id: str) -> bool:
-    """Whether the answer belongs to the request ``expected_id``."""
+    """Whether the answer belongs to the request ``expected_id``.
+
+    Engines echo the id. An answer without one is an engine's only if it is signed or
+    says that the request did not run; any other is made of additional bytes.
+    """
     echoed = head.field(names.ATTEMPT_ID)
-    return echoed is None or echoed == expected_id
+    if echoed is None:
+        return is_signed(head) or head.field(names.NOT_EXECUTED) is not None
+    return echoed == expected_id
 
 
 def instance_load(head: ResponseHead | Response) -> InstanceLoad | None:
