Streams: wait for a silent instance if no other can continue the stream

Cause: the time for the next event depended on whether the route allows another try, not on whether one can follow. Ruled out by the record of the case: the stop (1.8 s of 8 s) and the engine (the run is dropped by the entry).

At the end of that time the reader asks whether an untried instance, a try and a retry of the budget are left. If not, it waits on, until the deadline at most.

forwarding/tests/test_foreign_answers.py: a request whose first try got additional bytes could get them at its second try as well, which no code can answer, and failed once for it. The stand-in now spoils one of two tries at most; the checks are unchanged.

--- a/pistachioglade/decisions/_retry.py
+++ b/pistachioglade/decisions/_retry.py
@@ -48,9 +48,14 @@
         """Count a first try."""
         self._tokens = min(_MAX_TOKENS, self._tokens + self._ratio)
 
+    @property
+    def has_retry(self) -> bool:
+        """Whether a retry is left."""
+        return self._tokens >= 1.0
+
     def spend_retry(self) -> bool:
         """Use one retry of the budget; return False if the budget is used up."""
-        if self._tokens < 1.0:
+        if not self.has_retry:
             return False
         self._tokens -= 1.0
         return True
--- a/pistachioglade/forwarding/_stream.py
+++ b/pistachioglade/forwarding/_stream.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from contextlib import closing
 from enum import Enum
+from functools import partial
 
 from ..decisions import (
     RETRY_PERCENT,
@@ -113,7 +115,14 @@
                 progress.on_accepted = place.confirm
                 with guard.running():
                     place.begin()
-                    answer = await self._try(call, policy, handle, progress, len(tried))
+                    answer = await self._try(
+                        call,
+                        policy,
+                        handle,
+                        progress,
+                        len(tried),
+                        partial(self._may_continue, upstream, policy, tried),
+                    )
                 place.end(is_answered=not isinstance(answer, Refusal))
             fault = answer if isinstance(answer, Refusal) else None
             guard.record_result(handle.instance, fault)
@@ -143,6 +152,13 @@
             lambda: self._gate.record_refused(call, upstream, lambda: guard.digest),
         )
 
+    def _may_continue(
+        self, upstream: str, policy: CallPolicy, tried: list[str]
+    ) -> bool:
+        """Whether another instance could continue a stream that falls silent."""
+        is_allowed = len(tried) < policy.max_attempts and self._budget.has_retry
+        return is_allowed and self._choose(upstream, tried) is not None
+
     def _choose(self, upstream: str, excluded: list[str]) -> InstanceHandle | None:
         return choose_instance(self._view, upstream, excluded, self._domain)
 
@@ -153,6 +169,7 @@
         handle: InstanceHandle,
         progress: StreamProgress,
         attempt: int,
+        may_continue: Callable[[], bool],
     ) -> Response | Refusal | None:
         """Return None if the stream is now complete, else what ended the try."""
         loop = asyncio.get_running_loop()
@@ -161,7 +178,7 @@
         record = handle.record
         record.outstanding += 1
         try:
-            answer = await self._exchange(call, policy, handle, progress)
+            answer = await self._exchange(call, policy, handle, progress, may_continue)
         finally:
             record.outstanding -= 1
         outcome = "whole" if answer is None else _outcome_name(answer)
@@ -188,6 +205,7 @@
         policy: CallPolicy,
         handle: InstanceHandle,
         progress: StreamProgress,
+        may_continue: Callable[[], bool],
     ) -> Response | Refusal | None:
         pool = handle.pool
         loop = asyncio.get_running_loop()
@@ -200,7 +218,9 @@
         answer: Response | Refusal | None = None
         try:
             exchange = start_exchange(connection, call, handle.id, progress)
-            reader = StreamReader(call, policy, exchange, progress, handle)
+            reader = StreamReader(
+                call, policy, exchange, progress, handle, may_continue
+            )
             answer = await reader.run()
             head = exchange.response
             if isinstance(answer, Refusal):
--- a/pistachioglade/forwarding/_stream_reader.py
+++ b/pistachioglade/forwarding/_stream_reader.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from typing import Final, Protocol
+from collections.abc import Awaitable, Callable
+from typing import Final, Protocol, TypeVar
 
 import attrs
 
@@ -28,6 +28,11 @@
 #: Time for forwarding events, in seconds, above which the caller has kept the entry
 #: waiting. Without a wait the events are only copied.
 _WRITE_WAIT_S: Final = 0.002
+#: Interval at which a silent stream that no other instance can continue is checked
+#: again, in seconds.
+_RECHECK_S: Final = 0.25
+
+_T = TypeVar("_T")
 
 
 class StreamSink(Protocol):
@@ -91,7 +96,10 @@
         exchange: Exchange,
         progress: StreamProgress,
         handle: InstanceHandle,
+        may_continue: Callable[[], bool],
     ) -> None:
+        # Whether another instance could continue the stream.
+        self._may_continue = may_continue
         self._call = call
         # Record of an engine, whose events are measured.
         self._record = handle.record if handle.instance.versions else None
@@ -104,9 +112,10 @@
 
     async def run(self) -> Response | Refusal | None:
         """Read until the stream ends; return None if it is complete, else the cause."""
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + self._event_timeout_s()
         try:
-            async with asyncio.timeout(self._event_timeout_s()):
-                head = await self._exchange.head()
+            head = await self._wait(self._exchange.head, due_s)
         except TimeoutError:
             return refuse(ErrorKind.UPSTREAM_LOST, "no head in time")
         if isinstance(head, Refusal):
@@ -126,6 +135,22 @@
         remaining_s = self._call.deadline_s - asyncio.get_running_loop().time()
         return stream_silence_s(self._policy, self._progress.is_begun, remaining_s)
 
+    async def _wait(self, read: Callable[[], Awaitable[_T]], due_s: float) -> _T:
+        """Wait for the next part of the answer; raise TimeoutError if it is overdue.
+
+        Silence is no reason to end a stream that no other instance can continue: its
+        instance may go on before the deadline.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                async with asyncio.timeout_at(due_s):
+                    return await read()
+            except TimeoutError:
+                if loop.time() >= self._call.deadline_s or self._may_continue():
+                    raise
+                due_s = min(self._call.deadline_s, loop.time() + _RECHECK_S)
+
     async def _read_complete(self) -> Response | Refusal:
         """Read an answer whose status isn't 200, which is not a stream."""
         try:
@@ -140,8 +165,7 @@
         while True:
             try:
                 # Bytes that complete no event don't extend the time.
-                async with asyncio.timeout_at(due_s):
-                    chunk = await self._exchange.read()
+                chunk = await self._wait(self._exchange.read, due_s)
             except TimeoutError:
                 return refuse(ErrorKind.UPSTREAM_LOST, "no event in time")
             if isinstance(chunk, Refusal):
--- a/pistachioglade/forwarding/tests/test_foreign_answers.py
+++ b/pistachioglade/forwarding/tests/test_foreign_answers.py
@@ -35,10 +35,11 @@
 
 
 class _Instance:
-    """Answers each request, after additional bytes on each connection's second one."""
+    """Answers requests, some on kept connections after additional bytes."""
 
     def __init__(self, extra: bytes) -> None:
         self._extra = extra
+        self._has_spoilt = False
         self.runs: Counter[str] = Counter()
 
     async def serve(
@@ -55,7 +56,9 @@
         served = 0
         while head := await self._read_head(reader):
             served += 1
-            if served == 2:
+            # A request whose first try got additional bytes is answered at its second.
+            self._has_spoilt = served >= 2 and not self._has_spoilt
+            if self._has_spoilt:
                 writer.write(self._extra)
                 await asyncio.sleep(0.01)
             fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:-2])
--- a/pistachioglade/jobs/tests/test_trickling_streams.py
+++ b/pistachioglade/jobs/tests/test_trickling_streams.py
@@ -94,7 +94,7 @@
         )
         policy = CallPolicy(is_resumable, 3, 0.4)
         exchange: Any = _TricklingExchange("i")
-        reader = StreamReader(call, policy, exchange, progress, handle)
+        reader = StreamReader(call, policy, exchange, progress, handle, lambda: True)
         async with asyncio.timeout(60.0):
             answer = await reader.run()
         assert isinstance(answer, Refusal)
