--- a/pistachioglade/store/_watch.py
+++ b/pistachioglade/store/_watch.py
@@ -78,11 +78,6 @@
         follow: FetchChangesFrom | None = None,
         bound_s: Bound = _unbounded,
     ) -> None:
-        self._bound_s = bound_s
-        # Whether the last watch was replaced since its answer was overdue.
-        self._was_overdue = False
-        # Whether the store has been slow, so that an answer gets the time of any call.
-        self._is_slow = False
         # Asks another node for changes; None if there is no such node.
         self._ask_relay = follow
         self._is_relayed = False
@@ -96,6 +91,12 @@
         self._hold_s = hold_s
         self._batch_window_s = batch_window_s
         self._may_be_stale = may_be_stale
+        # Returns the time for which an old copy may be used.
+        self._bound_s = bound_s
+        # Whether the last watch was replaced since its answer was overdue.
+        self._was_overdue = False
+        # Whether the last answer was late, so that the next one gets a call's time.
+        self._is_slow = False
         self._revision = 0
         self._is_urgent = asyncio.Event()
         self._log = logger(__name__)
--- a/tests/test_serving_endless.py
+++ b/tests/test_serving_endless.py
@@ -93,6 +93,13 @@
     return server
 
 
+async def _wait_until_listed(entry: ServingProcess, name: str) -> None:
+    while not any(
+        line["instance"] == name for line in entry.log_lines("instance-listed")
+    ):
+        await asyncio.sleep(0.02)
+
+
 def _peak_bytes(entry: ServingProcess) -> int:
     assert entry.process is not None
     status = Path(f"/proc/{entry.process.pid}/status").read_text()
@@ -114,11 +121,7 @@
         await fleet.add_instance(FleetInstance("app-2", "app"))
         server = await _add_endless(fleet, kind, "app")
         (entry,) = fleet.entries
-        while not any(
-            line["instance"] == "app-endless"
-            for line in entry.log_lines("instance-listed")
-        ):
-            await asyncio.sleep(0.02)
+        await _wait_until_listed(entry, "app-endless")
         statuses: Counter[int] = Counter()
         for begin in range(0, 400, 20):
             calls = (
@@ -154,11 +157,7 @@
     async def case(fleet: Fleet) -> None:
         server = await _add_endless(fleet, kind, "lm", ("m",))
         (entry,) = fleet.entries
-        while not any(
-            line["instance"] == "lm-endless"
-            for line in entry.log_lines("instance-listed")
-        ):
-            await asyncio.sleep(0.02)
+        await _wait_until_listed(entry, "lm-endless")
         job = submission(6, 8)
         await fleet.call(entry, "POST", f"{JOBS}x", "job-1", job)
         results = await fleet.read_results(entry, "job-1", 48)
